Let a lost answer's place go and watch each attempt until its end

An attempt was looked at for the last time at its aim, before six times what its server takes had passed, so a silent connection cost its request all its time. A lost origin call held its place in the gate until then and cut the gate when it ended: fetches and writes were refused in front of an idle origin, and the hit rate fell for want of fetches.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -349,7 +349,7 @@
             let lost_after = self.servers.get(&server).map_or(0.0, |s| LOST * s.takes) as Micros + 1;
             self.wake(lost_after.max(slow_after), Wake::Patience(id, attempt));
         }
-        self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after });
+        self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after, lost: false });
         out.push(Action::Send { request: id, server, give_up_after: 0 });
         true
     }
@@ -427,16 +427,18 @@
 
     /// What an outcome tells of its server and of the strain on the fleet, or of the origin.
     fn learn(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
+        let lost = self.lost(flight);
+        if !flight.lost {
+            self.leave(flight);
+        }
         let Some(s) = self.servers.get_mut(&flight.server) else { return };
-        s.in_flight = s.in_flight.saturating_sub(1);
         // The tables of the servers have no room for an idle connection from each of many balancers.
         if s.in_flight == 0 && self.crowded {
             out.push(Action::CloseIdle(flight.server));
         }
         if flight.call != Call::Cache {
-            return self.learn_origin(flight, o, out);
+            return self.learn_origin(flight, o, lost, out);
         }
-        self.cache_out -= 1;
         // A late answer has been counted when it became late: waiting for its end would lag the overload.
         if self.now - flight.sent < flight.slow_after {
             self.strain.add(f64::from(u8::from(o.status == Status::Full)), 1.0);
@@ -471,16 +473,17 @@
     }
 
     /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
-    fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
+    fn learn_origin(&mut self, flight: &Flight, o: &Outcome, lost: bool, out: &mut Vec<Action>) {
         let slow = self.now - flight.sent > (self.origin_aim as f64 * ORIGIN_SLOW) as Micros;
         let g = &mut self.gate;
-        g.leave(flight.call);
         let was = g.limit;
         // What it answered can't be read, but it answered: no sign of congestion. Nor is a broken connection.
         if matches!(o.status, Status::Served | Status::Spoilt) && !slow {
             g.limit = (g.limit + 1.0 / g.limit).min(GATE_OUT);
         } else if (o.status != Status::Reset || slow)
             && o.status != Status::NotSent
+            // It answers what came later: an answer got lost on its way, which tells nothing of the origin.
+            && !lost
             && flight.sent >= g.cut_at
         {
             // One cut for all calls that were out together.
@@ -503,17 +506,21 @@
     }
 
     /// An attempt has had no answer for long: a sign of overload, and against silent and hanging servers a
-    /// strike when the server has answered nothing since.
+    /// strike when the server has answered nothing since. It is watched for as long as its request is owed.
     fn patience(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
         let Some(&f) = self.flights.get(&(id, attempt)) else { return };
         let lost = self.lost(&f);
         if lost {
+            self.let_go(id, attempt);
             self.send_again(id, &f, out);
         }
+        let (age, patience) = (self.now - f.sent, f.slow_after + 1);
+        if self.held.contains_key(&id) {
+            self.wake(patience, Wake::Patience(id, attempt));
+        }
         if f.call != Call::Cache {
             return;
         }
-        let (age, patience) = (self.now - f.sent, f.slow_after + 1);
         // Half a sign when it becomes slow, and is counted, and half when nearly late: slow is not yet lost.
         self.strain.add(
             if age < f.aim && !lost { 0.5 } else { 0.0 },
@@ -522,11 +529,9 @@
         if age < patience * 3 / 2 {
             self.hedge(id, f.server, out);
         }
-        if age < f.aim {
-            return self.wake(patience, Wake::Patience(id, attempt));
-        }
         // One strike for one attempt: a single slow request is no sign of a sick server.
-        if self.servers.get(&f.server).is_some_and(|s| s.heard < f.sent) {
+        let late = f.aim <= age && age < f.aim + patience;
+        if late && self.servers.get(&f.server).is_some_and(|s| s.heard < f.sent) {
             self.strike(f.server, out);
         }
     }
@@ -535,13 +540,35 @@
     fn lost(&self, f: &Flight) -> bool {
         let age = (self.now - f.sent) as f64;
         let s = self.servers.get(&f.server);
-        s.is_some_and(|s| s.takes > 0.0 && age > LOST * s.takes && s.answered_sent > f.sent)
+        f.lost || s.is_some_and(|s| s.takes > 0.0 && age > LOST * s.takes && s.answered_sent > f.sent)
+    }
+
+    /// What is lost holds no place any more, neither in the gate nor at its server: for all its time it would
+    /// look like work that is under way, and stop calls that there is room for.
+    fn let_go(&mut self, id: RequestId, attempt: u16) {
+        if let Some(f) = self.flights.get_mut(&(id, attempt)).filter(|f| !f.lost) {
+            f.lost = true;
+            let f = *f;
+            self.leave(&f);
+        }
+    }
+
+    /// An attempt is under way no more.
+    fn leave(&mut self, f: &Flight) {
+        if let Some(s) = self.servers.get_mut(&f.server) {
+            s.in_flight = s.in_flight.saturating_sub(1);
+        }
+        match f.call {
+            Call::Cache => self.cache_out -= 1,
+            call => self.gate.leave(call),
+        }
     }
 
     /// Against answers that are lost: the same call is made once more, where it was, within the budget of
     /// repeats and, at the origin, through the gate. Without it each would cost its request all its time.
     fn send_again(&mut self, id: RequestId, f: &Flight, out: &mut Vec<Action>) {
-        let only = self.held.get(&id).is_some_and(|h| h.out == 1);
+        let sent = self.held.get(&id).map_or(0, |h| h.sent);
+        let only = (0..sent).all(|attempt| self.flights.get(&(id, attempt)).is_none_or(|f| f.lost));
         let open = only && self.repeats >= 1.0 && (f.call == Call::Cache || self.gate_open(f.call));
         if open && self.send(id, f.server, f.call, out) {
             self.repeats -= 1.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,8 @@
     pub aim: Micros,
     /// It is slow when it has been out for this long.
     pub slow_after: Micros,
+    /// Its answer will not come; it is under way no more.
+    pub lost: bool,
 }
 
 /// A server of the list, and what this balancer has seen of it.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -579,6 +579,63 @@
     assert!(done.contains(&Action::Cancel { request: 100, attempt: 0 }), "the silent one is given up");
 }
 
+#[test]
+fn an_answer_is_found_to_be_lost_however_slow_its_server_is() {
+    // Found on r2906: an attempt was looked at for the last time at its aim, before six times what the server
+    // takes had passed, and its request waited in vain until its end.
+    let mut config = settings();
+    config.classes[0].late_worth = 0.3;
+    let mut node = Node::new(config, 1);
+    let answer = |node: &mut Node, id: RequestId| {
+        node.request(read(id, id));
+        node.pass(200 * MS);
+        node.outcome(id, 0, 1, Status::Served);
+    };
+    (1..=20).for_each(|id| answer(&mut node, id));
+    node.request(read(100, 100));
+    (21..=22).for_each(|id| answer(&mut node, id));
+    let again = node.pass(1_090 * MS);
+    let sent = |a: &Action| matches!(a, Action::Send { request: 100, .. });
+    assert_eq!(again.iter().filter(|a| sent(a)).count(), 1, "{again:?}");
+}
+
+#[test]
+fn lost_answers_hold_no_place_in_the_gate_and_are_no_sign_of_a_congested_origin() {
+    // Found on r2906: of each hundred origin calls two or three were never answered. Each held a place for
+    // all its time and then cut the gate, and fetches and writes were refused at an origin that stood idle.
+    let tenants = vec![Tenant { quota_per_s: 2_000.0 }];
+    let mut node = Node::new(Settings { may_cancel: true, tenants, ..settings() }, 8);
+    let mut id = 0;
+    let mut call = |node: &mut Node, answered: bool| {
+        id += 1;
+        // Class 2, an unsafe write, is not sent again.
+        let went = sent_to(&node.request(write(id, 2))).is_some();
+        if answered && went {
+            node.pass(10 * MS);
+            node.outcome(id, 0, ORIGIN, Status::Served);
+        }
+        (id, went)
+    };
+    (0..40).for_each(|_| drop(call(&mut node, true)));
+    let lost: Vec<_> = (0..10).map(|_| call(&mut node, false)).collect();
+    assert!(lost.iter().all(|(_, went)| *went));
+    (0..5).for_each(|_| drop(call(&mut node, true)));
+    node.pass(130 * MS);
+    // All places are free again, though the lost calls are out still.
+    let more: Vec<_> = (0..20).map(|_| call(&mut node, false)).collect();
+    let went = more.iter().filter(|(_, went)| *went).count();
+    assert!(went >= 13, "{went} of {}", more.len());
+    for (id, _) in more {
+        node.outcome(id, 0, ORIGIN, Status::Served);
+    }
+    // Their ends, late as they come, cut nothing.
+    for (id, _) in lost {
+        node.outcome(id, 0, ORIGIN, Status::TimedOut);
+    }
+    let after = (0..20).filter(|_| call(&mut node, false).1).count();
+    assert!(after >= went, "{after} after, {went} before");
+}
+
 #[test]
 fn a_slow_read_is_sent_to_the_next_server_too_and_the_loser_is_cancelled() {
     // One of 500 balancers meets a sick server once in 20 s: it cannot learn to avoid it, only not wait for it.
