--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -616,10 +616,14 @@
         }
         (id, went)
     };
-    (0..40).for_each(|_| drop(call(&mut node, true)));
+    for _ in 0..40 {
+        call(&mut node, true);
+    }
     let lost: Vec<_> = (0..10).map(|_| call(&mut node, false)).collect();
     assert!(lost.iter().all(|(_, went)| *went));
-    (0..5).for_each(|_| drop(call(&mut node, true)));
+    for _ in 0..5 {
+        call(&mut node, true);
+    }
     node.pass(130 * MS);
     // All places are free again, though the lost calls are out still.
     let more: Vec<_> = (0..20).map(|_| call(&mut node, false)).collect();
