Ignore a timer that an earlier one has overtaken

Each one set another when it came, for ever, so that their number only grew: 64 timers against 32 in three idle seconds of the test's balancer.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -101,7 +101,7 @@
             Event::AnswerBegan { request, .. } | Event::ClientGone(request) => {
                 drop(self.held.remove(&request))
             }
-            Event::Timer(_) => self.wakes.timer_came(),
+            Event::Timer(_) => self.wakes.timer_came(self.now),
             Event::PeerMessage { .. } | Event::Probed { .. } => {}
         }
         while let Some(wake) = self.wakes.due(now, out) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -265,9 +265,10 @@
         self.queue.push(Reverse((time, wake)));
     }
 
-    /// The timer that was set has come.
-    pub fn timer_came(&mut self) {
-        self.armed = None;
+    /// A timer has come. One that was overtaken by an earlier one is of no account: were another set for each,
+    /// their number would only ever grow.
+    pub fn timer_came(&mut self, now: Micros) {
+        self.armed = self.armed.filter(|armed| *armed > now);
     }
 
     /// The next wake-up that is due; when none is, sees that a timer is set for the first to come.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -833,3 +833,20 @@
     node.pass(60 * SECOND);
     assert!(node.actions.len() < 1500, "{} actions in an idle minute", node.actions.len());
 }
+
+#[test]
+fn timers_do_not_breed_when_earlier_wake_ups_overtake_later_ones() {
+    // Found while mending r8274: each timer that had been overtaken set another one when it came, and so on
+    // for ever. A balancer that had been busy for a while spent its time on timers.
+    let mut node = Node::new(settings(), 5);
+    // Calls that a shut gate stops wait for a few milliseconds each, and so ever another one is the next.
+    for id in 1..=400 {
+        node.pass(2 * MS);
+        node.request(write(id, 2));
+    }
+    // What is left of the requests passes. Then only the reviews go on, eight to an aim.
+    node.pass(3 * SECOND);
+    let idle = node.pass(3 * SECOND);
+    let timers = idle.iter().filter(|a| matches!(a, Action::Timer { .. })).count();
+    assert!(timers <= 3 * 8 * 4 / 3 + 2, "{timers} timers in three idle seconds");
+}
