--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,8 +35,12 @@
 /// An attempt without answer for this part of its aim is slow, for twice this nearly late.
 const PATIENCE: f64 = 0.4;
 /// An answer is lost that has not come after this multiple of what answers of its server take, while what was
-/// sent there later has been answered.
+/// sent there later has been answered; where answers have been lost of late, after a smaller one.
 const LOST: f64 = 6.0;
+/// What one attempt counts for in the share of answers that its server loses.
+const LOSES: f64 = 0.05;
+/// What the repeat of a lost call costs of the budget: it is lost in three cases of four, and not slow.
+const LOST_COST: f64 = 0.25;
 /// Strikes in a row, with no answer between them, after which a server is set aside.
 const STRIKES: u32 = 3;
 /// A server is set aside for this multiple of the longest aim, doubled each time up to the second figure.
@@ -109,6 +113,7 @@
                 Wake::End(id) => self.time_up(id, out),
                 Wake::Go(id, wait) if self.held.get(&id).map(|h| h.wait) == Some(wait) => self.step(id, out),
                 Wake::Patience(id, attempt) => self.patience(id, attempt, out),
+                Wake::Overdue(id, attempt) => self.overdue(id, attempt, out),
                 Wake::Subscribe if self.settings.ask_discovery => out.push(Action::Subscribe(true)),
                 Wake::Go(..) | Wake::Subscribe => {}
                 Wake::Review => self.review(out),
@@ -347,9 +352,8 @@
             self.wake(slow_after, Wake::Patience(id, attempt));
         } else {
             self.gate.enter(call);
-            let lost_after = self.servers.get(&server).map_or(0.0, |s| LOST * s.takes) as Micros + 1;
-            self.wake(lost_after.max(slow_after), Wake::Patience(id, attempt));
         }
+        self.wake(self.lost_after(server) as Micros + 1, Wake::Overdue(id, attempt));
         self.flights.insert((id, attempt), Flight { server, call, sent, aim, slow_after, lost: false });
         out.push(Action::Send { request: id, server, give_up_after: 0 });
         true
@@ -378,6 +382,7 @@
             let took = (self.now - flight.sent) as f64;
             s.takes += if s.takes == 0.0 { 1.0 } else { 0.1 } * (took - s.takes);
             s.answered_sent = s.answered_sent.max(flight.sent);
+            s.loses -= LOSES * s.loses;
         }
         self.learn(&flight, &o, out);
         // One connection that broke, or one answer that was spoilt, says little of its server: the key's copy
@@ -393,13 +398,13 @@
         if flight.call == Call::Cache && o.status != Status::Miss && !well {
             h.tried.push(flight.server);
         }
-        let (others_out, class) = (h.out > 0, h.class);
+        let class = h.class;
         if o.over || o.status == Status::Served {
             self.cancel_rest(o.request, out);
             self.held.remove(&o.request);
             return;
         }
-        if others_out && o.status != Status::Miss {
+        if self.out(o.request).any(|lost| !lost) && o.status != Status::Miss {
             return; // Their outcomes decide.
         }
         if flight.call != Call::Cache && o.status == Status::Full {
@@ -428,7 +433,6 @@
 
     /// What an outcome tells of its server and of the strain on the fleet, or of the origin.
     fn learn(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
-        let lost = self.lost(flight);
         if !flight.lost {
             self.leave(flight);
         }
@@ -438,7 +442,7 @@
             out.push(Action::CloseIdle(flight.server));
         }
         if flight.call != Call::Cache {
-            return self.learn_origin(flight, o, lost, out);
+            return self.learn_origin(flight, o, out);
         }
         // A late answer has been counted when it became late: waiting for its end would lag the overload.
         if self.now - flight.sent < flight.slow_after {
@@ -474,7 +478,7 @@
     }
 
     /// A slow, failing or refusing origin lowers the gate's limit, within a floor; good answers restore it.
-    fn learn_origin(&mut self, flight: &Flight, o: &Outcome, lost: bool, out: &mut Vec<Action>) {
+    fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
         let takes = self.servers.get(&flight.server).map_or(0.0, |s| s.takes);
         let slow = takes > self.origin_aim as f64 * ORIGIN_SLOW;
         let g = &mut self.gate;
@@ -485,7 +489,7 @@
         } else if (o.status != Status::Reset || slow)
             && o.status != Status::NotSent
             // It answers what came later: an answer got lost on its way, which tells nothing of the origin.
-            && !lost
+            && !flight.lost
             && flight.sent >= g.cut_at
         {
             // One cut for all calls that were out together.
@@ -508,50 +512,52 @@
     }
 
     /// An attempt has had no answer for long: a sign of overload, and against silent and hanging servers a
-    /// strike when the server has answered nothing since. It is watched for as long as its request is owed.
+    /// strike when the server has answered nothing since.
     fn patience(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
         let Some(&f) = self.flights.get(&(id, attempt)) else { return };
-        let lost = self.lost(&f);
-        if lost {
-            self.let_go(id, attempt);
-            self.send_again(id, &f, out);
-        }
         let (age, patience) = (self.now - f.sent, f.slow_after + 1);
-        if self.held.contains_key(&id) {
-            self.wake(patience, Wake::Patience(id, attempt));
-        }
-        if f.call != Call::Cache {
-            return;
-        }
         // Half a sign when it becomes slow, and is counted, and half when nearly late: slow is not yet lost.
         self.strain.add(
-            if age < f.aim && !lost { 0.5 } else { 0.0 },
+            if age < f.aim && !f.lost { 0.5 } else { 0.0 },
             if age < patience * 3 / 2 { 1.0 } else { 0.0 },
         );
         if age < patience * 3 / 2 {
             self.hedge(id, f.server, out);
         }
+        if age < f.aim {
+            return self.wake(patience, Wake::Patience(id, attempt));
+        }
         // One strike for one attempt: a single slow request is no sign of a sick server.
-        let late = f.aim <= age && age < f.aim + patience;
-        if late && self.servers.get(&f.server).is_some_and(|s| s.heard < f.sent) {
+        if self.servers.get(&f.server).is_some_and(|s| s.heard < f.sent) {
             self.strike(f.server, out);
         }
     }
 
-    /// Whether an answer will not come, though the server is well: a connection fell silent, not the server.
-    fn lost(&self, f: &Flight) -> bool {
-        let age = (self.now - f.sent) as f64;
-        let s = self.servers.get(&f.server);
-        f.lost || s.is_some_and(|s| s.takes > 0.0 && age > LOST * s.takes && s.answered_sent > f.sent)
+    /// How old an attempt must be for its answer to be lost. The more answers its server has lost of late,
+    /// the sooner one is more likely lost than slow: by far, at e times the odds if times are exponential, so
+    /// that the slow that are taken for lost are fewer than the share they are judged by.
+    fn lost_after(&self, server: ServerId) -> f64 {
+        self.servers.get(&server).map_or(0.0, |s| s.takes * (1.0 - s.loses.ln()).min(LOST))
     }
 
-    /// What is lost holds no place any more, neither in the gate nor at its server: for all its time it would
-    /// look like work that is under way, and stop calls that there is room for.
-    fn let_go(&mut self, id: RequestId, attempt: u16) {
-        if let Some(f) = self.flights.get_mut(&(id, attempt)).filter(|f| !f.lost) {
-            f.lost = true;
-            let f = *f;
+    /// An attempt may be lost: it is looked at for as long as its request is owed an answer, since what its
+    /// server takes changes meanwhile.
+    fn overdue(&mut self, id: RequestId, attempt: u16, out: &mut Vec<Action>) {
+        let Some(&f) = self.flights.get(&(id, attempt)) else { return };
+        let left = self.lost_after(f.server) - (self.now - f.sent) as f64;
+        // A connection fell silent, not the server: what was sent there later has been answered.
+        let server = self.servers.get_mut(&f.server).filter(|s| s.takes > 0.0 && s.answered_sent > f.sent);
+        if let Some(s) = server.filter(|_| left < 0.0 && !f.lost) {
+            s.loses += LOSES * (1.0 - s.loses);
+            // It holds no place any more, neither in the gate nor at its server: for all its time it would
+            // look like work that is under way, and stop calls that there is room for.
             self.leave(&f);
+            self.flights.insert((id, attempt), Flight { lost: true, ..f });
+        }
+        if self.held.contains_key(&id) {
+            self.send_again(id, &f, out);
+            let next = (left.max(0.0) as Micros + 1).max((self.now - f.sent) / 4).max(self.settings.tick);
+            self.wake(next, Wake::Overdue(id, attempt));
         }
     }
 
@@ -566,14 +572,30 @@
         }
     }
 
-    /// Against answers that are lost: the same call is made once more, where it was, within the budget of
-    /// repeats and, at the origin, through the gate. Without it each would cost its request all its time.
-    fn send_again(&mut self, id: RequestId, f: &Flight, out: &mut Vec<Action>) {
+    /// The attempts of a request that are out, and whether each is lost.
+    fn out(&self, id: RequestId) -> impl Iterator<Item = bool> {
         let sent = self.held.get(&id).map_or(0, |h| h.sent);
-        let only = (0..sent).all(|attempt| self.flights.get(&(id, attempt)).is_none_or(|f| f.lost));
-        let open = only && self.repeats >= 1.0 && (f.call == Call::Cache || self.gate_open(f.call));
-        if open && self.send(id, f.server, f.call, out) {
-            self.repeats -= 1.0;
+        (0..sent).filter_map(move |attempt| self.flights.get(&(id, attempt)).map(|f| f.lost))
+    }
+
+    /// Against answers that are lost: the same call is made once more, where it was and then at the next
+    /// server, within the budget of repeats and, at the origin, through the gate. Without it each would cost
+    /// its request all its time.
+    fn send_again(&mut self, id: RequestId, f: &Flight, out: &mut Vec<Action>) {
+        let lost = self.out(id).filter(|lost| *lost).count();
+        if lost == 0 || self.out(id).count() > lost || self.repeats < LOST_COST {
+            return;
+        }
+        let to = match self.held.get_mut(&id).filter(|_| f.call == Call::Cache && lost > 1) {
+            Some(h) => {
+                h.tried.push(f.server);
+                self.pick(id)
+            }
+            None => Some(f.server),
+        };
+        let Some(server) = to.filter(|_| f.call == Call::Cache || self.gate_open(f.call)) else { return };
+        if self.send(id, server, f.call, out) {
+            self.repeats -= LOST_COST;
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -76,6 +76,8 @@
     pub answered_sent: Micros,
     /// Time that it takes to answer, of late.
     pub takes: f64,
+    /// Part of its answers that got lost, of late.
+    pub loses: f64,
     /// Its answers within about one aim, as a fading count.
     pub answered: f64,
     pub strikes: u32,
@@ -135,6 +137,7 @@
     End(RequestId),
     Go(RequestId, u32),
     Patience(RequestId, u16),
+    Overdue(RequestId, u16),
     Subscribe,
     Review,
 }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -599,6 +599,51 @@
     assert_eq!(again.iter().filter(|a| sent(a)).count(), 1, "{again:?}");
 }
 
+#[test]
+fn where_answers_are_lost_one_that_is_overdue_is_given_up_sooner() {
+    // Found on r8274: four of nine servers lost every third answer, and each cost its read six times what an
+    // answer takes, which is more than its aim, and the budget for repeats of what is slow.
+    let mut node = Node::new(Settings { may_cancel: true, ..settings() }, 1);
+    let mut id = 0;
+    let mut read_next = |node: &mut Node, answered: bool| {
+        id += 1;
+        node.request(read(id, id));
+        node.pass(100 * MS);
+        if answered {
+            node.outcome(id, 0, 1, Status::Served);
+        }
+        id
+    };
+    let again_after = |node: &mut Node, lost: RequestId| {
+        let mut at = 100 * MS;
+        let sent = |a: &Action| matches!(a, Action::Send { request, .. } if *request == lost);
+        while at < 750 * MS && !node.actions.iter().skip_while(|a| !sent(a)).skip(1).any(sent) {
+            node.pass(10 * MS);
+            at += 10 * MS;
+        }
+        at
+    };
+    for _ in 0..20 {
+        read_next(&mut node, true);
+    }
+    let lost = read_next(&mut node, false);
+    read_next(&mut node, true);
+    let rare = again_after(&mut node, lost);
+    for n in 0..60 {
+        let id = read_next(&mut node, n % 3 > 0);
+        if n % 3 == 0 {
+            for _ in 0..4 {
+                read_next(&mut node, true);
+            }
+            node.outcome(id, 1, 1, Status::Served);
+        }
+    }
+    let lost = read_next(&mut node, false);
+    read_next(&mut node, true);
+    let often = again_after(&mut node, lost);
+    assert!(rare >= 500 * MS && often <= 450 * MS, "{rare} where it is rare, {often} where it is often");
+}
+
 #[test]
 fn lost_answers_hold_no_place_in_the_gate_and_are_no_sign_of_a_congested_origin() {
     // Found on r2906: of each hundred origin calls two or three were never answered. Each held a place for
