Let the cap on origin calls grow with the balancer's share

The windowed tally follows the share of the quotas, the cap of 20 did not. The cap is now what the share brings in a tenth of the longest aim, 20 at the least; its start and its floor stay.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -17,15 +17,16 @@
 const FULL: f64 = 0.5;
 /// Answers that a server is credited with before any were seen: a few in flight at an idle one pass.
 const PRIOR: f64 = 2.0;
-/// Gate: outstanding origin calls of one balancer at most; it starts from half, the note's default.
-const GATE_OUT: f64 = 20.0;
+/// Gate: outstanding origin calls of one balancer at most, or what its share brings in this part of the
+/// longest aim where that is more; it starts from half of the first, the note's default.
+const GATE_OUT: (f64, f64) = (20.0, 0.1);
 /// Gate: calls a second, as a part of this balancer's share; at the least the note's.
 const GATE_RATE: (f64, f64) = (1.0, 30.0);
 /// Gate: its window as a part of the longest aim, short enough that what bursts over it can still wait.
 const GATE_WINDOW: f64 = 0.25;
 /// Gate: sub-limit of fetches, of both limits; writes have the rest for themselves.
 const GATE_FETCHES: f64 = 0.7;
-/// Gate: factor on the outstanding cap at a sign of congestion, and its floor as a part of the ceiling.
+/// Gate: factor on the outstanding cap at a sign of congestion, and its floor as a part of the first ceiling.
 const GATE_CUT: (f64, f64) = (0.8, 0.1);
 /// Gate: an origin whose answers take longer than this part of the shortest aim, of late and not just one of
 /// them, is congested: some are slow at any load, and each would cut the gate.
@@ -83,7 +84,7 @@
                 > 100.0 * settings.handshake_price,
             repeats: REPEATS.1,
             // Calls of an earlier life of this balancer may still run: the gate opens gradually.
-            gate: Gate { limit: GATE_OUT / 2.0, ..Gate::default() },
+            gate: Gate { limit: GATE_OUT.0 / 2.0, ..Gate::default() },
             quota_share,
             settings,
             ..Policy::default()
@@ -481,11 +482,13 @@
     fn learn_origin(&mut self, flight: &Flight, o: &Outcome, out: &mut Vec<Action>) {
         let takes = self.servers.get(&flight.server).map_or(0.0, |s| s.takes);
         let slow = takes > self.origin_aim as f64 * ORIGIN_SLOW;
+        // A fixed cap would shut before an idle origin where requests are many and short.
+        let top = (self.share() * GATE_OUT.1 * self.aim as f64 / 1e6).max(GATE_OUT.0);
         let g = &mut self.gate;
         let was = g.limit;
         // What it answered can't be read, but it answered: no sign of congestion. Nor is a broken connection.
         if matches!(o.status, Status::Served | Status::Spoilt) && !slow {
-            g.limit = (g.limit + 1.0 / g.limit).min(GATE_OUT);
+            g.limit = (g.limit + 1.0 / g.limit).min(top);
         } else if (o.status != Status::Reset || slow)
             && o.status != Status::NotSent
             // It answers what came later: an answer got lost on its way, which tells nothing of the origin.
@@ -494,9 +497,9 @@
         {
             // One cut for all calls that were out together.
             g.cut_at = self.now;
-            g.limit = (g.limit * GATE_CUT.0).max(GATE_OUT * GATE_CUT.1);
+            g.limit = (g.limit * GATE_CUT.0).max(GATE_OUT.0 * GATE_CUT.1);
         }
-        log_crossing(out, was, g.limit, GATE_OUT / 4.0, "gate lowered: origin slow", "gate restored");
+        log_crossing(out, was, g.limit, GATE_OUT.0 / 4.0, "gate lowered: origin slow", "gate restored");
     }
 
     /// A server that fails several times in a row, with no answer between, is set aside for a while.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -685,6 +685,33 @@
     assert!(after >= went, "{after} after, {went} before");
 }
 
+#[test]
+fn the_cap_on_origin_calls_grows_with_the_share_that_a_balancer_has_to_serve() {
+    // Found on r2906: at 900 requests a second for each balancer the cap of 20 was shut half of the time, while
+    // the origin answered faster the more calls were out.
+    for (quota_per_s, least, most) in [(200.0, 18, 20), (2_000.0, 60, 80)] {
+        let mut config = settings();
+        config.classes[1].deadline = SECOND;
+        config.classes[0].aim = 400 * MS;
+        config.tenants = vec![Tenant { quota_per_s }];
+        let mut node = Node::new(config, 8);
+        for id in 1..=6_000 {
+            node.request(Request { time_left: SECOND, ..write(id, 2) });
+            node.pass(6 * MS);
+            node.outcome(id, 0, ORIGIN, Status::Served);
+        }
+        node.pass(200 * MS);
+        let sent = (6_001..=6_400)
+            .filter(|id| {
+                // Spread out, so that it is the cap and not the tally that stops calls.
+                node.pass(MS);
+                sent_to(&node.request(Request { time_left: SECOND, ..write(*id, 2) })) == Some(ORIGIN)
+            })
+            .count();
+        assert!((least..=most).contains(&sent), "{sent} with a quota of {quota_per_s}");
+    }
+}
+
 #[test]
 fn one_slow_answer_in_twenty_leaves_the_gate_open_and_an_origin_slow_throughout_lowers_it() {
     // Found on r2906 and r6397: of the origin's answers 2 or 3 in 100 took over 0.8 aims however few were out,
