--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -601,7 +601,7 @@
 
 #[test]
 fn where_answers_are_lost_one_that_is_overdue_is_given_up_sooner() {
-    // Found on r8274: four of nine servers lost every third answer, and each cost its read six times what an
+    // Found on r8274: four of nine servers lost every fourth answer, and each cost its read six times what an
     // answer takes, which is more than its aim, and the budget for repeats of what is slow.
     let mut node = Node::new(Settings { may_cancel: true, ..settings() }, 1);
     let mut id = 0;
