Count what servers report to hold against the load bound

A report comes only with an answer, too late where answers are slow; the own attempt that is still out is the earlier sign, so that both count.

At fault: pick() in src/brain.rs, which compared only in_flight of this balancer with the bound, and learn(), which dropped the load reports. Now what others hold by the latest report counts too, fading within four aims, taken for more or less by each request so that nodes don't skip in step. With two nodes half of a report is others', with a hundred all but a part.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,11 +8,13 @@
 use crate::interface::*;
 use crate::state::*;
 
-/// Load bound: a server is skipped from this multiple of its part of this balancer's attempts in flight: the
-/// first where the origin has room for the fetch a skip costs, the second where it holds calls up; never
-/// below this balancer's part of the third, else a quiet one would scatter its keys.
+/// Load bound: a server is skipped from this multiple of its part of the attempts in flight, of this balancer's
+/// or, by what servers report, of all: the first where the origin has room for the fetch a skip costs, the
+/// second where it holds calls up; never below the third of all, else a quiet fleet would scatter its keys.
 /// The origin is without room when the fourth, as a part of the calls, finds the gate shut.
 const BOUND: (f64, f64, f64, f64) = (1.25, 3.0, 8.0, 0.05);
+/// What a server reports of itself counts for nothing after this multiple of the longest aim.
+const REPORT_FADES: f64 = 4.0;
 /// A server whose queue takes longer than this part of the time left is full.
 const FULL: f64 = 0.5;
 /// Answers that a server is credited with before any were seen: a few in flight at an idle one pass.
@@ -201,13 +203,19 @@
         let key = if h.key == 0 { id } else { h.key };
         let left = self.useful_until(h).saturating_sub(self.now) as f64;
         let multiple = BOUND.0 + (BOUND.1 - BOUND.0) * (self.gate.pressed.value() / BOUND.3).min(1.0);
-        let bound = multiple * f64::from(self.cache_out + 1) / self.total;
+        let own = multiple * f64::from(self.cache_out + 1) / self.total;
+        let all = self.ready(false).map(|s| self.held_by_all(s, 1.0)).sum::<f64>();
+        let all = multiple * (all + 1.0) / self.total;
         let floor = BOUND.2 / f64::from(self.settings.balancers.max(2)); // All of it from one is a crowd.
         let mut best = None;
         for s in self.ready(false).filter(|s| !h.tried.contains(&s.line.id) && self.warm_enough(key, s)) {
             // Last, not left out: when most look bad the cause is shared, and there is no better place.
             let aside = s.aside.0 != 0 && (self.now < s.aside.0 || s.in_flight > 0);
-            let over = f64::from(s.in_flight) >= (bound * self.weight(s)).max(floor);
+            // Each request takes a report for more or less, else all balancers would skip a server, and come
+            // back, in step.
+            let held = self.held_by_all(s, 0.5 + unit_hash(id, s.line.id, 2));
+            let over = f64::from(s.in_flight) >= (own * self.weight(s)).max(floor)
+                || held >= (all * self.weight(s)).max(BOUND.2);
             let place = (aside, over || self.queue(id, s) > left * FULL, self.place(key, s), s.line.id);
             if best.is_none_or(|b| place < b) {
                 best = Some(place);
@@ -219,6 +227,15 @@
         best.map(|(.., server)| server).filter(|server| !full(&self.servers[server]))
     }
 
+    /// Requests that a server holds for all balancers: this one's are known, of the others' its latest report
+    /// tells, the less the older it is. Against a jam that many make together: one of a hundred hardly ever
+    /// has two attempts at a server, however crowded that is, and its own count tells nothing.
+    fn held_by_all(&self, s: &Server, trust: f64) -> f64 {
+        let fresh = 1.0 - (self.now - s.reported.1) as f64 / self.aim as f64 / REPORT_FADES;
+        let others = 1.0 - 1.0 / f64::from(self.settings.balancers.max(1));
+        f64::from(s.in_flight) + trust * others * s.reported.0 * fresh.max(0.0)
+    }
+
     /// Wait at a server by what the list tells of the requests that all balancers together have there. Each
     /// request takes it for more or less, else all balancers would turn away, and come back, in step.
     fn queue(&self, id: RequestId, s: &Server) -> f64 {
@@ -445,6 +462,10 @@
         if flight.call != Call::Cache {
             return self.learn_origin(flight, o, out);
         }
+        let held = self.settings.load_fields.iter().position(|field| *field == LoadField::InFlight);
+        if let Some(at) = held.filter(|at| *at < usize::from(o.load.count)) {
+            s.reported = (f64::from(o.load.values[at]), self.now);
+        }
         // A late answer has been counted when it became late: waiting for its end would lag the overload.
         if self.now - flight.sent < flight.slow_after {
             self.strain.add(f64::from(u8::from(o.status == Status::Full)), 1.0);
@@ -671,7 +692,7 @@
             s.origin = self.settings.origin_kind == Some(line.kind);
             // A new process starts with a clean record. One presumed cold stays so until the list knows.
             if line.started > s.line.started {
-                (s.strikes, s.aside) = (0, (0, 0));
+                (s.strikes, s.aside, s.reported) = (0, (0, 0), (0.0, 0));
             }
             s.size = if self.settings.weights_are_live { s.size.max(line.weight) } else { line.weight };
             let started = if line.started == 0 { 0 } else { line.started.max(s.line.started) };
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,6 +71,8 @@
     /// The highest weight seen; where weights fall with load, that of the idle server.
     pub size: f32,
     pub in_flight: u32,
+    /// Requests of all balancers that it held by its latest report, and when that came.
+    pub reported: (f64, Micros),
     pub heard: Micros,
     /// When the latest of the attempts that it has answered was sent.
     pub answered_sent: Micros,
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -42,6 +42,34 @@
     assert_ne!(seen[4], first, "over the bound the next server is used");
 }
 
+#[test]
+fn a_server_that_reports_a_crowd_is_skipped_by_one_of_many_balancers_that_has_nothing_there() {
+    let config = Settings { balancers: 100, load_fields: vec![LoadField::InFlight], ..settings() };
+    let mut node = Node::new(config, 4);
+    let mut went_elsewhere = |held: f32, wait: Micros, from: RequestId| {
+        let first = sent_to(&node.request(read(from, 9))).unwrap();
+        let load = Load { count: 1, values: [held, 0.0, 0.0, 0.0] };
+        let (request, server, status) = (from, first, Status::Served);
+        let outcome =
+            Outcome { request, attempt: 0, server, status, over: true, note: Note::Hit, took: MS, load };
+        node.event(Event::Outcome(outcome));
+        node.pass(wait);
+        let mut elsewhere = 0;
+        for id in from + 1..=from + 20 {
+            let to = sent_to(&node.request(read(id, 9))).unwrap();
+            elsewhere += usize::from(to != first);
+            node.outcome(id, 0, to, Status::Served);
+        }
+        node.pass(10 * SECOND);
+        elsewhere
+    };
+    assert_eq!(went_elsewhere(2.0, MS, 100), 0, "a few at work are no crowd");
+    assert_eq!(went_elsewhere(40.0, MS, 200), 20, "held by others, and none of this balancer's");
+    let some = went_elsewhere(12.0, MS, 300);
+    assert!((5..=19).contains(&some), "{some} of 20: no two balancers skip it, or come back, in step");
+    assert_eq!(went_elsewhere(40.0, 4 * SECOND, 400), 0, "what was reported long ago counts for nothing");
+}
+
 #[test]
 fn a_skip_is_held_back_while_the_origin_has_no_room_for_the_fetch_it_costs() {
     // Incidents ia996fa (the origin had room, queues at few servers) and iaa6bb1 (the gate refused).
