Spread the calls to discovery by the number of balancers

At fault: Policy::new, which woke Subscribe at once, and discovery_failed, whose pause had no measure of how many others call. The first call now waits a random part of a time that grows with the number of balancers, ask_within times (N - 1) / 150, and the repeat at least that; one alone, or one that knows no server, calls at once as before. No pause is longer than before the list would count as told.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -65,6 +65,8 @@
 const FADE: (f64, f64) = (0.85, 10.0);
 /// A cold server gets this multiple of a warm server's attempts, scaled by its present part of capacity.
 const COLD_RATE: f64 = 1.5;
+/// What each further balancer takes, as a part of the time within which discovery is to be asked, for its call.
+const CALL_SPREAD: f64 = 1.0 / 150.0;
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
 const HOT: usize = 64;
 
@@ -91,7 +93,6 @@
             settings,
             ..Policy::default()
         };
-        policy.wake(0, Wake::Subscribe);
         policy.wake(0, Wake::Review);
         policy
     }
@@ -101,7 +102,15 @@
         self.now = now;
         match event {
             Event::ServerList { kind: ListKind::Failed, .. } => self.discovery_failed(out),
-            Event::ServerList { kind, servers } => self.server_list(kind, servers),
+            Event::ServerList { kind, servers } => {
+                self.server_list(kind, servers);
+                if kind == ListKind::Cached {
+                    // One without any server to send to has nothing to wait with.
+                    let after = self.calls_spread() * self.rng.unit();
+                    let after = if self.ready(false).next().is_some() { after as Micros } else { 0 };
+                    self.wake(after, Wake::Subscribe);
+                }
+            }
             Event::Request(request) => self.request(request, out),
             Event::Outcome(outcome) => self.outcome(outcome, out),
             // A streamed answer belongs to the client from here on: nothing is owed, and no deadline runs.
@@ -703,11 +712,20 @@
         self.total = self.ready(false).map(|s| self.weight(s)).sum::<f64>().max(0.01);
     }
 
+    /// Time over which the calls of all balancers to discovery are spread. It takes them one after another, and
+    /// one that has waited too long there fails and costs it as much: where many restart at once and call in
+    /// step, all but the first few fail, and so they do when they all call again soon.
+    fn calls_spread(&self) -> f64 {
+        let others = f64::from(self.settings.balancers.max(1) - 1);
+        self.settings.ask_within as f64 * (others * CALL_SPREAD).min(1.0)
+    }
+
     /// Discovery has little capacity: it is asked again later each time, and not by all at once.
     fn discovery_failed(&mut self, out: &mut Vec<Action>) {
-        let base = (self.settings.ask_within / 16) << self.subscribe_tries.min(3);
+        let all = self.settings.ask_within as f64;
+        let base = (all / 16.0).max(self.calls_spread()) * f64::from(1 << self.subscribe_tries.min(3));
         self.subscribe_tries += 1;
-        let delay = (base as f64 * (0.5 + self.rng.unit())) as Micros;
+        let delay = (base.min(all) * (0.5 + self.rng.unit())) as Micros;
         self.wake(delay, Wake::Subscribe);
         out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
     }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -902,6 +902,46 @@
     assert!(refused(&node.request(read(3, 9)), 3), "all are full");
 }
 
+/// How long each of so many balancers, told the same at the same instant, waits before its call to discovery.
+fn next_calls(balancers: u32, servers: Vec<ServerLine>, fails: bool) -> Vec<Micros> {
+    let until_call = |node: &mut Node| {
+        let begun = node.now;
+        while !node.actions.contains(&Action::Subscribe(true)) && node.now < begun + 60 * SECOND {
+            node.pass(MS);
+        }
+        node.now - begun
+    };
+    let call = |me: u32| {
+        let config = Settings { balancers, me, ask_discovery: true, ..settings() };
+        let mut node = Node::of(Policy::new(config, u64::from(me) + 1), servers.clone());
+        let first = until_call(&mut node);
+        if !fails {
+            return first;
+        }
+        node.actions.clear();
+        node.list(ListKind::Failed, Vec::new());
+        until_call(&mut node)
+    };
+    (0..balancers).map(call).collect()
+}
+
+#[test]
+fn many_balancers_that_start_or_fail_together_do_not_call_discovery_together() {
+    let servers = || vec![server(1), origin()];
+    for fails in [false, true] {
+        let mut calls = next_calls(100, servers(), fails);
+        calls.sort_unstable();
+        let most = (0..calls.len()).map(|i| calls[i..].iter().filter(|at| **at < calls[i] + SECOND).count());
+        let (most, last) = (most.max().unwrap(), calls[99]);
+        assert!(most <= 30, "{most} of 100 within a second, after a failure: {fails}");
+        assert!(last <= 10 * SECOND + MS, "the last after {last}: later it counts as told what it was not");
+    }
+    let few = next_calls(2, servers(), false);
+    assert!(few.iter().all(|at| *at < 150 * MS), "two have no need to wait: {few:?}");
+    let blind = next_calls(100, Vec::new(), false);
+    assert_eq!(blind, [0; 100], "one that knows no server can't serve before it has asked");
+}
+
 #[test]
 fn a_failed_call_to_discovery_is_repeated_later_and_not_at_once() {
     let config = Settings { ask_discovery: true, ..settings() };
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -55,11 +55,15 @@
 
     /// A node with cache servers 1 to `servers` and an origin, a minute after their start.
     pub fn just_started(settings: Settings, servers: u32) -> Self {
-        let policy = Policy::new(settings, 7);
-        let mut node = Node { policy, now: 60 * SECOND, actions: Vec::new(), timers: Vec::new() };
         let mut lines: Vec<_> = (1..=servers).map(server).collect();
         lines.push(origin());
-        node.list(ListKind::Cached, lines);
+        Node::of(Policy::new(settings, 7), lines)
+    }
+
+    /// A node round a policy that is told of these servers as it starts.
+    pub fn of(policy: Policy, servers: Vec<ServerLine>) -> Self {
+        let mut node = Node { policy, now: 60 * SECOND, actions: Vec::new(), timers: Vec::new() };
+        node.list(ListKind::Cached, servers);
         node
     }
 
