--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,8 +8,8 @@
 use crate::interface::*;
 use crate::state::*;
 
-/// Load bound: a server is skipped from this multiple of its part of the attempts in flight, of this balancer's
-/// or, by what servers report, of all: the first where the origin has room for the fetch a skip costs, the
+/// Load bound: a server is skipped from this multiple of its part of the attempts in flight, of this
+/// balancer's or, by what servers report, of all: the first where the origin has room for the fetch a skip costs, the
 /// second where it holds calls up; never below the third of all, else a quiet fleet would scatter its keys.
 /// The origin is without room when the fourth, as a part of the calls, finds the gate shut.
 const BOUND: (f64, f64, f64, f64) = (1.25, 3.0, 8.0, 0.05);
@@ -65,7 +65,7 @@
 const FADE: (f64, f64) = (0.85, 10.0);
 /// A cold server gets this multiple of a warm server's attempts, scaled by its present part of capacity.
 const COLD_RATE: f64 = 1.5;
-/// What each further balancer takes, as a part of the time within which discovery is to be asked, for its call.
+/// Part of the time within which discovery is to be asked that each further balancer's call takes.
 const CALL_SPREAD: f64 = 1.0 / 150.0;
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
 const HOT: usize = 64;
@@ -712,9 +712,9 @@
         self.total = self.ready(false).map(|s| self.weight(s)).sum::<f64>().max(0.01);
     }
 
-    /// Time over which the calls of all balancers to discovery are spread. It takes them one after another, and
-    /// one that has waited too long there fails and costs it as much: where many restart at once and call in
-    /// step, all but the first few fail, and so they do when they all call again soon.
+    /// Time over which the calls of all balancers to discovery are spread. It takes them one after another,
+    /// and one that has waited too long there fails and costs it as much: where many restart at once and call
+    /// in step, all but the first few fail, and so they do when they all call again soon.
     fn calls_spread(&self) -> f64 {
         let others = f64::from(self.settings.balancers.max(1) - 1);
         self.settings.ask_within as f64 * (others * CALL_SPREAD).min(1.0)
