--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,9 +9,9 @@
 use crate::state::*;
 
 /// Load bound: a server is skipped from this multiple of its part of the attempts in flight, of this
-/// balancer's or, by what servers report, of all: the first where the origin has room for the fetch a skip costs, the
-/// second where it holds calls up; never below the third of all, else a quiet fleet would scatter its keys.
-/// The origin is without room when the fourth, as a part of the calls, finds the gate shut.
+/// balancer's or, by what servers report, of all: the first where the origin has room for the fetch that a
+/// skip costs, the second where it holds calls up; never below the third of all, else a quiet fleet would
+/// scatter its keys. It is without room when the fourth, as a part of the calls, finds the gate shut.
 const BOUND: (f64, f64, f64, f64) = (1.25, 3.0, 8.0, 0.05);
 /// What a server reports of itself counts for nothing after this multiple of the longest aim.
 const REPORT_FADES: f64 = 4.0;
