Let a report hold for longer where a node asks each server seldom

One node sends 14 requests a second to 60 servers, so that it hears from each every four seconds or so, while a report counted for nothing after 2.6 s: it had forgotten each time what it had learnt, and a hundred nodes in turn fed the jam.

Ruled out: missing reports (every answer carries one), and other nodes in step (the attempts are spread evenly over the time).

At fault: held_by_all in src/brain.rs, whose fading knew nothing of how often this node hears. Now a report fades over eight rounds of its requests to all servers, by its share of the quotas, where that is more than four aims. With two or three nodes a round takes a fraction of an aim: unchanged.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -13,8 +13,9 @@
 /// skip costs, the second where it holds calls up; never below the third of all, else a quiet fleet would
 /// scatter its keys. It is without room when the fourth, as a part of the calls, finds the gate shut.
 const BOUND: (f64, f64, f64, f64) = (1.25, 3.0, 8.0, 0.05);
-/// What a server reports of itself counts for nothing after this multiple of the longest aim.
-const REPORT_FADES: f64 = 4.0;
+/// What a server reports of itself counts for nothing after this multiple of the longest aim, or of the time
+/// in which this balancer asks each server once, where that is more.
+const REPORT_FADES: (f64, f64) = (4.0, 8.0);
 /// A server whose queue takes longer than this part of the time left is full.
 const FULL: f64 = 0.5;
 /// Answers that a server is credited with before any were seen: a few in flight at an idle one pass.
@@ -238,9 +239,12 @@
 
     /// Requests that a server holds for all balancers: this one's are known, of the others' its latest report
     /// tells, the less the older it is. Against a jam that many make together: one of a hundred hardly ever
-    /// has two attempts at a server, however crowded that is, and its own count tells nothing.
+    /// has two attempts at a server, however crowded that is, and its own count tells nothing. It also asks
+    /// each so seldom that it has to go by a report for longer: the jam outlasts what it last heard.
     fn held_by_all(&self, s: &Server, trust: f64) -> f64 {
-        let fresh = 1.0 - (self.now - s.reported.1) as f64 / self.aim as f64 / REPORT_FADES;
+        let round = 1e6 * self.servers.len() as f64 / self.share().max(1.0);
+        let fades = (REPORT_FADES.0 * self.aim as f64).max(REPORT_FADES.1 * round);
+        let fresh = 1.0 - (self.now - s.reported.1) as f64 / fades;
         let others = 1.0 - 1.0 / f64::from(self.settings.balancers.max(1));
         f64::from(s.in_flight) + trust * others * s.reported.0 * fresh.max(0.0)
     }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -42,32 +42,43 @@
     assert_ne!(seen[4], first, "over the bound the next server is used");
 }
 
+/// Has a server report that it holds so many, lets time pass, and tells how many of twenty reads of its key go
+/// elsewhere. This balancer's part of all requests a second is given.
+fn elsewhere(share: f64, held: f32, wait: Micros) -> usize {
+    let (balancers, tenants) = (100, vec![Tenant { quota_per_s: 100.0 * share }]);
+    let load_fields = vec![LoadField::InFlight];
+    let mut node = Node::new(Settings { balancers, tenants, load_fields, ..settings() }, 4);
+    let first = sent_to(&node.request(read(100, 9))).unwrap();
+    let load = Load { count: 1, values: [held, 0.0, 0.0, 0.0] };
+    let (request, server, status, note) = (100, first, Status::Served, Note::Hit);
+    let outcome = Outcome { request, attempt: 0, server, status, over: true, note, took: MS, load };
+    node.event(Event::Outcome(outcome));
+    node.pass(wait);
+    let mut elsewhere = 0;
+    for id in 101..=120 {
+        let to = sent_to(&node.request(read(id, 9))).unwrap();
+        elsewhere += usize::from(to != first);
+        node.outcome(id, 0, to, Status::Served);
+    }
+    elsewhere
+}
+
 #[test]
 fn a_server_that_reports_a_crowd_is_skipped_by_one_of_many_balancers_that_has_nothing_there() {
-    let config = Settings { balancers: 100, load_fields: vec![LoadField::InFlight], ..settings() };
-    let mut node = Node::new(config, 4);
-    let mut went_elsewhere = |held: f32, wait: Micros, from: RequestId| {
-        let first = sent_to(&node.request(read(from, 9))).unwrap();
-        let load = Load { count: 1, values: [held, 0.0, 0.0, 0.0] };
-        let (request, server, status) = (from, first, Status::Served);
-        let outcome =
-            Outcome { request, attempt: 0, server, status, over: true, note: Note::Hit, took: MS, load };
-        node.event(Event::Outcome(outcome));
-        node.pass(wait);
-        let mut elsewhere = 0;
-        for id in from + 1..=from + 20 {
-            let to = sent_to(&node.request(read(id, 9))).unwrap();
-            elsewhere += usize::from(to != first);
-            node.outcome(id, 0, to, Status::Served);
-        }
-        node.pass(10 * SECOND);
-        elsewhere
-    };
-    assert_eq!(went_elsewhere(2.0, MS, 100), 0, "a few at work are no crowd");
-    assert_eq!(went_elsewhere(40.0, MS, 200), 20, "held by others, and none of this balancer's");
-    let some = went_elsewhere(12.0, MS, 300);
+    assert_eq!(elsewhere(50.0, 2.0, MS), 0, "a few at work are no crowd");
+    assert_eq!(elsewhere(50.0, 40.0, MS), 20, "held by others, and none of this balancer's");
+    let some = elsewhere(50.0, 12.0, MS);
     assert!((5..=19).contains(&some), "{some} of 20: no two balancers skip it, or come back, in step");
-    assert_eq!(went_elsewhere(40.0, 4 * SECOND, 400), 0, "what was reported long ago counts for nothing");
+}
+
+#[test]
+fn a_report_holds_for_longer_the_more_seldom_a_balancer_asks_each_server() {
+    assert_eq!(elsewhere(50.0, 40.0, 4 * SECOND), 0, "ten answers a second of each server: this one is old");
+    assert!(
+        elsewhere(5.0, 40.0, 4 * SECOND) >= 10,
+        "an answer a second: this one may be the latest there is"
+    );
+    assert_eq!(elsewhere(5.0, 40.0, 10 * SECOND), 0, "but it does not hold for ever");
 }
 
 #[test]
