Set aside at the first refused connection what a node asks seldom

Ruled out: full connection tables (all at servers of one zone, from the same second on) and stale lists (none were told gone).

At fault: strike() in src/brain.rs. A refused connection proves more than a slow or failing request: as many are enough as the node's round to all servers fits into an aim, three at most, and it sets aside for a round at least. With two or three nodes a round is shorter than a third of an aim, so that nothing changes there; errors and silence still need three.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -242,13 +242,17 @@
     /// has two attempts at a server, however crowded that is, and its own count tells nothing. It also asks
     /// each so seldom that it has to go by a report for longer: the jam outlasts what it last heard.
     fn held_by_all(&self, s: &Server, trust: f64) -> f64 {
-        let round = 1e6 * self.servers.len() as f64 / self.share().max(1.0);
-        let fades = (REPORT_FADES.0 * self.aim as f64).max(REPORT_FADES.1 * round);
+        let fades = (REPORT_FADES.0 * self.aim as f64).max(REPORT_FADES.1 * self.round());
         let fresh = 1.0 - (self.now - s.reported.1) as f64 / fades;
         let others = 1.0 - 1.0 / f64::from(self.settings.balancers.max(1));
         f64::from(s.in_flight) + trust * others * s.reported.0 * fresh.max(0.0)
     }
 
+    /// Time in which this balancer asks each server once, where quotas tell how much it has to ask.
+    fn round(&self) -> f64 {
+        if self.quota_share > 0.0 { 1e6 * self.servers.len() as f64 / self.quota_share } else { 0.0 }
+    }
+
     /// Wait at a server by what the list tells of the requests that all balancers together have there. Each
     /// request takes it for more or less, else all balancers would turn away, and come back, in step.
     fn queue(&self, id: RequestId, s: &Server) -> f64 {
@@ -538,11 +542,16 @@
 
     /// A server that fails several times in a row, with no answer between, is set aside for a while.
     fn strike(&mut self, server: ServerId, out: &mut Vec<Action>) {
+        let round = self.round();
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.strikes += 1;
         let trial_failed = s.aside.0 != 0 && self.now >= s.aside.0;
-        if trial_failed || (s.aside.0 == 0 && s.strikes >= STRIKES) {
-            let time = (s.aside.1 * 2).clamp(self.aim * ASIDE.0, self.aim * ASIDE.1);
+        // What refuses connections is no single slow or failing request: one that asks it hardly once in an
+        // aim would find the same again and again.
+        let enough = if s.unreachable { (self.aim as f64 / round.max(1.0)).ceil() as u32 } else { STRIKES };
+        if trial_failed || (s.aside.0 == 0 && s.strikes >= enough.clamp(1, STRIKES)) {
+            let least = (self.aim * ASIDE.0).max(round as Micros).min(self.aim * ASIDE.1);
+            let time = (s.aside.1 * 2).clamp(least, self.aim * ASIDE.1);
             s.aside = (self.now + time, time);
             out.push(Action::Log(format!("server {server} fails or is silent: set aside")));
         }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -81,6 +81,34 @@
     assert_eq!(elsewhere(5.0, 40.0, 10 * SECOND), 0, "but it does not hold for ever");
 }
 
+/// A node that has this part of all requests a second, and the server that refused one connection to it and so
+/// many more, each to a read of its own.
+fn refused_by_its_server(share: f64, times: u64) -> (Node, ServerId) {
+    let (balancers, tenants) = (100, vec![Tenant { quota_per_s: 100.0 * share }]);
+    let mut node = Node::new(Settings { balancers, tenants, ..settings() }, 4);
+    let first = sent_to(&node.request(read(100, 9))).unwrap();
+    node.outcome(100, 0, first, Status::ConnectFailed);
+    for id in 101..100 + times {
+        assert_eq!(sent_to(&node.request(read(id, 9))), Some(first), "refusal {} is not enough", id - 100);
+        node.outcome(id, 0, first, Status::ConnectFailed);
+    }
+    (node, first)
+}
+
+#[test]
+fn one_that_asks_each_server_seldom_sets_aside_at_the_first_refused_connection_and_for_longer() {
+    let (mut node, first) = refused_by_its_server(2.0, 1);
+    assert_ne!(sent_to(&node.request(read(200, 9))), Some(first), "two requests a second for five servers");
+    node.pass(2 * SECOND);
+    assert_ne!(sent_to(&node.request(read(201, 9))), Some(first), "not yet its turn again");
+    node.pass(SECOND);
+    assert_eq!(sent_to(&node.request(read(202, 9))), Some(first), "tried again after a round");
+    let (mut node, first) = refused_by_its_server(50.0, 3);
+    assert_ne!(sent_to(&node.request(read(200, 9))), Some(first), "one that asks it often waits for three");
+    node.pass(SECOND);
+    assert_eq!(sent_to(&node.request(read(201, 9))), Some(first));
+}
+
 #[test]
 fn a_skip_is_held_back_while_the_origin_has_no_room_for_the_fetch_it_costs() {
     // Incidents ia996fa (the origin had room, queues at few servers) and iaa6bb1 (the gate refused).
