Set a zone aside as a whole once it has fallen silent

A node finds out for each server apart, with 25 lost, some ten requests a second into the zone and a strike only at 1.2 aims; second copies ran out of budget within the first second, and where one was answered the first attempt was called off and told nothing.

At fault: strike() and patience() in src/brain.rs know servers and no zones, and learn() took nothing from a call that a quicker copy had overtaken. Now three attempts into a zone that were refused, nearly late or overtaken, with no answer from any server there since they were sent, set the zone aside, and what is out there counts as lost and goes to the next server in another zone, within the budget of lost answers. An answer from the zone ends it; where no other zone is left nothing happens. A small fleet's node hears from each zone many times in an aim.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -493,11 +493,19 @@
                 // Against healthy servers taken for restarted ones: connections break for many reasons, a
                 // process that is gone takes no new ones.
                 s.unreachable = o.status == Status::ConnectFailed;
+                if s.unreachable {
+                    self.zone_silent(flight.server, flight.sent, out);
+                }
                 self.strike(flight.server, out);
             }
             Status::TimedOut => s.unreachable = false,
+            // A second copy was quicker.
+            Status::Cancelled if self.now - flight.sent >= flight.slow_after => {
+                self.zone_silent(flight.server, flight.sent, out);
+            }
             Status::NotSent | Status::Cancelled => {}
             _ => {
+                self.zones.insert(s.line.zone, (self.now, 0));
                 let sample = (self.now - flight.sent) as f64 / (1.0 + s.held_per_core());
                 if o.status == Status::Served {
                     self.service += if self.service == 0.0 { 1.0 } else { 0.1 } * (sample - self.service);
@@ -540,9 +548,45 @@
         log_crossing(out, was, g.limit, GATE_OUT.0 / 4.0, "gate lowered: origin slow", "gate restored");
     }
 
+    /// Against a zone that is lost: attempts in a row at its servers that failed or had no answer for long,
+    /// with none from any of them since they were sent, set all of it aside. One that asks each server seldom
+    /// would find out one after the other.
+    fn zone_silent(&mut self, server: ServerId, sent: Micros, out: &mut Vec<Action>) {
+        let Some(zone) = self.servers.get(&server).map(|s| s.line.zone) else { return };
+        if !self.ready(false).any(|s| s.line.zone != zone && s.aside.0 == 0) {
+            return; // There is no better place.
+        }
+        let time = self.least_aside();
+        let (heard, silent) = self.zones.entry(zone).or_default();
+        *silent += u32::from(*heard < sent);
+        if *silent < STRIKES {
+            return;
+        }
+        if *silent == STRIKES {
+            out.push(Action::Log(format!("zone {zone} is silent: set aside")));
+            let out_there = self.flights.iter().filter(|(_, f)| f.call == Call::Cache);
+            out_there.for_each(|(&(id, attempt), _)| self.wakes.at(self.now, Wake::Overdue(id, attempt)));
+        }
+        for s in self.servers.values_mut().filter(|s| s.line.zone == zone && !s.origin) {
+            s.aside = (s.aside.0.max(self.now + time), s.aside.1.max(time));
+        }
+    }
+
+    /// Whether an attempt is out in a zone that has been silent since it was sent.
+    fn in_silent_zone(&self, f: &Flight) -> bool {
+        let zone =
+            self.servers.get(&f.server).filter(|s| !s.origin).and_then(|s| self.zones.get(&s.line.zone));
+        zone.is_some_and(|(heard, silent)| *silent >= STRIKES && *heard < f.sent)
+    }
+
+    /// How long a server is set aside for at the least.
+    fn least_aside(&self) -> Micros {
+        (self.aim * ASIDE.0).max(self.round() as Micros).min(self.aim * ASIDE.1)
+    }
+
     /// A server that fails several times in a row, with no answer between, is set aside for a while.
     fn strike(&mut self, server: ServerId, out: &mut Vec<Action>) {
-        let round = self.round();
+        let (round, least) = (self.round(), self.least_aside());
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.strikes += 1;
         let trial_failed = s.aside.0 != 0 && self.now >= s.aside.0;
@@ -550,7 +594,6 @@
         // aim would find the same again and again.
         let enough = if s.unreachable { (self.aim as f64 / round.max(1.0)).ceil() as u32 } else { STRIKES };
         if trial_failed || (s.aside.0 == 0 && s.strikes >= enough.clamp(1, STRIKES)) {
-            let least = (self.aim * ASIDE.0).max(round as Micros).min(self.aim * ASIDE.1);
             let time = (s.aside.1 * 2).clamp(least, self.aim * ASIDE.1);
             s.aside = (self.now + time, time);
             out.push(Action::Log(format!("server {server} fails or is silent: set aside")));
@@ -569,6 +612,8 @@
         );
         if age < patience * 3 / 2 {
             self.hedge(id, f.server, out);
+        } else if age < f.aim {
+            self.zone_silent(f.server, f.sent, out);
         }
         if age < f.aim {
             return self.wake(patience, Wake::Patience(id, attempt));
@@ -593,8 +638,8 @@
         let left = self.lost_after(f.server) - (self.now - f.sent) as f64;
         // A connection fell silent, not the server: what was sent there later has been answered.
         let server = self.servers.get_mut(&f.server).filter(|s| s.takes > 0.0 && s.answered_sent > f.sent);
-        if let Some(s) = server.filter(|_| left < 0.0 && !f.lost) {
-            s.loses += LOSES * (1.0 - s.loses);
+        let one = server.filter(|_| left < 0.0 && !f.lost).map(|s| s.loses += LOSES * (1.0 - s.loses));
+        if one.is_some() || (!f.lost && self.in_silent_zone(&f)) {
             // It holds no place any more, neither in the gate nor at its server: for all its time it would
             // look like work that is under way, and stop calls that there is room for.
             self.leave(&f);
@@ -632,7 +677,8 @@
         if lost == 0 || self.out(id).count() > lost || self.repeats < LOST_COST {
             return;
         }
-        let to = match self.held.get_mut(&id).filter(|_| f.call == Call::Cache && lost > 1) {
+        let elsewhere = f.call == Call::Cache && (lost > 1 || self.in_silent_zone(f));
+        let to = match self.held.get_mut(&id).filter(|_| elsewhere) {
             Some(h) => {
                 h.tried.push(f.server);
                 self.pick(id)
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,6 +20,8 @@
     pub(crate) servers: BTreeMap<ServerId, Server>,
     pub(crate) held: BTreeMap<RequestId, Held>,
     pub(crate) flights: BTreeMap<(RequestId, u16), Flight>,
+    /// When each zone's servers last answered, and the attempts there since that seem to have met silence.
+    pub(crate) zones: BTreeMap<u8, (Micros, u32)>,
     pub(crate) gate: Gate,
     pub(crate) senders: Vec<Bucket>,
     pub(crate) pool: Bucket,
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -109,6 +109,49 @@
     assert_eq!(sent_to(&node.request(read(201, 9))), Some(first));
 }
 
+/// A node that knows zone 0 (servers 1 to 6) and zone 1 (servers 7 to 12), and a key of each server.
+fn two_zones() -> (Node, Vec<Key>) {
+    let (balancers, tenants) = (100, vec![Tenant { quota_per_s: 1_000.0 }]);
+    let config = Settings { balancers, tenants, ..settings() };
+    let mut lines: Vec<_> = (1..=12).map(|id| ServerLine { zone: u8::from(id > 6), ..server(id) }).collect();
+    lines.push(origin());
+    let mut node = Node::of(Policy::new(config, 7), lines);
+    let mut keys = vec![0; 12];
+    for key in 1..=200 {
+        let first = sent_to(&node.request(read(key, key))).unwrap();
+        node.outcome(key, 0, first, Status::Served);
+        keys[first as usize - 1] = key;
+        node.pass(100 * MS);
+    }
+    (node, keys)
+}
+
+#[test]
+fn a_zone_that_fell_silent_is_set_aside_as_a_whole_and_what_is_out_there_goes_elsewhere_at_once() {
+    for answers in [false, true] {
+        let (mut node, keys) = two_zones();
+        // Of a class that is sent no second copy for being slow.
+        for id in 0..4 {
+            let asked = read(1_000 + id, keys[6 + id as usize]);
+            node.request(Request { class: 1, time_left: 300 * MS, ..asked });
+            node.pass(2 * MS);
+        }
+        let early = node.pass(100 * MS);
+        assert_eq!(sends(&early), 0);
+        if answers {
+            assert_eq!(sent_to(&node.request(read(1_010, keys[11]))), Some(12));
+            node.outcome(1_010, 0, 12, Status::Served);
+        }
+        let again = sends(&node.pass(50 * MS));
+        assert_eq!(again, if answers { 0 } else { 4 }, "sent again, zone 1 answers: {answers}");
+        let next = sent_to(&node.request(read(1_020, keys[11]))).unwrap();
+        assert_eq!(next <= 6, !answers, "a server that has not failed itself: {next}");
+        node.outcome(1_020, 0, next, Status::Served);
+        node.pass(10 * SECOND);
+        assert_eq!(sent_to(&node.request(read(1_030, keys[10]))), Some(11), "the zone is tried again");
+    }
+}
+
 #[test]
 fn a_skip_is_held_back_while_the_origin_has_no_room_for_the_fetch_it_costs() {
     // Incidents ia996fa (the origin had room, queues at few servers) and iaa6bb1 (the gate refused).
