Take no miss for the recovery of a server that fails what it holds

They fail at once what they hold and still answer 'miss' for what they lack, as to node n58: error, miss, error, served, error, miss, error ... thirteen errors in 8 s.

At fault: learn() in src/brain.rs took one strike back, and the server itself, for any answer, a miss too; and strike() waited for three errors of a server that a node of a hundred asks every few seconds. After an error only a served answer counts as recovery now, and errors are enough as refused connections are: as many as rounds fit into an aim, three at most.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -493,6 +493,7 @@
                 // Against healthy servers taken for restarted ones: connections break for many reasons, a
                 // process that is gone takes no new ones.
                 s.unreachable = o.status == Status::ConnectFailed;
+                s.failing = o.status == Status::Error;
                 if s.unreachable {
                     self.zone_silent(flight.server, flight.sent, out);
                 }
@@ -511,7 +512,12 @@
                     self.service += if self.service == 0.0 { 1.0 } else { 0.1 } * (sample - self.service);
                 }
                 s.answered = 1.0 + s.answered_lately(self.now, flight.aim);
-                (s.heard, s.strikes) = (self.now, s.strikes.saturating_sub(1));
+                s.heard = self.now;
+                // One that fails what it holds still says at once what it lacks: that is no recovery.
+                if s.failing && o.status != Status::Served {
+                    return;
+                }
+                s.strikes = s.strikes.saturating_sub(1);
                 if s.aside.0 != 0 {
                     s.aside = (0, 0);
                     // It refused connections and answers again: a new process, cold, and the list is late.
@@ -590,9 +596,10 @@
         let Some(s) = self.servers.get_mut(&server) else { return };
         s.strikes += 1;
         let trial_failed = s.aside.0 != 0 && self.now >= s.aside.0;
-        // What refuses connections is no single slow or failing request: one that asks it hardly once in an
-        // aim would find the same again and again.
-        let enough = if s.unreachable { (self.aim as f64 / round.max(1.0)).ceil() as u32 } else { STRIKES };
+        // One that asks a server hardly once in an aim would find the same failure again and again, and to do
+        // without the server for a while costs it little; that one request is slow is no failure.
+        let failed = s.unreachable || s.failing;
+        let enough = if failed { (self.aim as f64 / round.max(1.0)).ceil() as u32 } else { STRIKES };
         if trial_failed || (s.aside.0 == 0 && s.strikes >= enough.clamp(1, STRIKES)) {
             let time = (s.aside.1 * 2).clamp(least, self.aim * ASIDE.1);
             s.aside = (self.now + time, time);
--- a/src/state.rs
+++ b/src/state.rs
@@ -87,6 +87,8 @@
     pub strikes: u32,
     /// Whether the last failure was one to connect.
     pub unreachable: bool,
+    /// Whether it was an error.
+    pub failing: bool,
     /// Until when it is set aside (0: it is not), and for how long that was.
     pub aside: (Micros, Micros),
     /// Level and time of the bucket that holds bursts at a cold server.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -152,6 +152,28 @@
     }
 }
 
+#[test]
+fn a_server_that_fails_what_it_holds_is_set_aside_though_it_still_says_what_it_lacks() {
+    let failures = |share: f64| {
+        let (balancers, tenants) = (100, vec![Tenant { quota_per_s: 100.0 * share }]);
+        let mut node = Node::new(Settings { balancers, tenants, ..settings() }, 4);
+        let first = sent_to(&node.request(read(100, 9))).unwrap();
+        let mut failures = 0;
+        for id in 0..10 {
+            node.outcome(100 + 2 * id, 0, first, Status::Error);
+            failures += 1;
+            if sent_to(&node.request(read(101 + 2 * id, 9))) != Some(first) {
+                break;
+            }
+            node.outcome(101 + 2 * id, 0, first, Status::Miss);
+            assert_eq!(sent_to(&node.request(read(102 + 2 * id, 9))), Some(first));
+        }
+        failures
+    };
+    assert_eq!(failures(50.0), 3, "the misses between are no recovery");
+    assert_eq!(failures(2.0), 1, "one that asks it seldom would find it out again and again");
+}
+
 #[test]
 fn a_skip_is_held_back_while_the_origin_has_no_room_for_the_fetch_it_costs() {
     // Incidents ia996fa (the origin had room, queues at few servers) and iaa6bb1 (the gate refused).
