Judge a server full by the queue it reports, not by one's own backlog

Late reads took as much of the servers left as timely ones.

Ruled out: lost servers still tried (111 failed connects a second at most after the zone was set aside), and the origin (800 answers a second, none refused).

At fault: pick() in src/brain.rs took a server for full by its backlog of this node's own attempts, one or two of a hundred nodes', or by a live weight that this list does not give; queue() and the service time knew nothing of the load reports. Both now take the requests that a server reports beyond its cores, so that a read which would wait for half its time left is refused at once with a time to come back; each request takes a report for more or less. The answer's own report says how much of its time was waiting.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -253,13 +253,20 @@
         if self.quota_share > 0.0 { 1e6 * self.servers.len() as f64 / self.quota_share } else { 0.0 }
     }
 
-    /// Wait at a server by what the list tells of the requests that all balancers together have there. Each
-    /// request takes it for more or less, else all balancers would turn away, and come back, in step.
+    /// Wait at a server by what its reports or the list tell of the requests that all balancers together have
+    /// there. Each request takes it for more or less, else all balancers would turn away, and come back, in
+    /// step.
     fn queue(&self, id: RequestId, s: &Server) -> f64 {
-        let wait = self.service * s.held_per_core();
+        let wait = self.service * self.waiting(s, self.held_by_all(s, 1.0));
         if wait > 0.0 { wait * (0.5 + unit_hash(id, s.line.id, 2)) } else { 0.0 }
     }
 
+    /// Requests for each core that wait at a server that holds so many; weights are its cores, roughly.
+    fn waiting(&self, s: &Server, held: f64) -> f64 {
+        let reported = if self.settings.weights_are_sizes { held / self.weight(s) - 1.0 } else { 0.0 };
+        reported.max(s.held_per_core())
+    }
+
     /// Time until a server has answered what this balancer has in flight there, at the pace of its latest
     /// answers (Little's law), with a credit for a server that has had little to answer.
     fn backlog(&self, s: &Server) -> f64 {
@@ -471,6 +478,10 @@
         if !flight.lost {
             self.leave(flight);
         }
+        let held = self.settings.load_fields.iter().position(|field| *field == LoadField::InFlight);
+        let held = held.filter(|at| *at < usize::from(o.load.count)).map(|at| f64::from(o.load.values[at]));
+        let server = self.servers.get(&flight.server);
+        let waiting = server.map_or(0.0, |s| self.waiting(s, held.unwrap_or(0.0)));
         let Some(s) = self.servers.get_mut(&flight.server) else { return };
         // The tables of the servers have no room for an idle connection from each of many balancers.
         if s.in_flight == 0 && self.crowded {
@@ -479,9 +490,8 @@
         if flight.call != Call::Cache {
             return self.learn_origin(flight, o, out);
         }
-        let held = self.settings.load_fields.iter().position(|field| *field == LoadField::InFlight);
-        if let Some(at) = held.filter(|at| *at < usize::from(o.load.count)) {
-            s.reported = (f64::from(o.load.values[at]), self.now);
+        if let Some(held) = held {
+            s.reported = (held, self.now);
         }
         // A late answer has been counted when it became late: waiting for its end would lag the overload.
         if self.now - flight.sent < flight.slow_after {
@@ -507,7 +517,7 @@
             Status::NotSent | Status::Cancelled => {}
             _ => {
                 self.zones.insert(s.line.zone, (self.now, 0));
-                let sample = (self.now - flight.sent) as f64 / (1.0 + s.held_per_core());
+                let sample = (self.now - flight.sent) as f64 / (1.0 + waiting);
                 if o.status == Status::Served {
                     self.service += if self.service == 0.0 { 1.0 } else { 0.1 } * (sample - self.service);
                 }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -174,6 +174,30 @@
     assert_eq!(failures(2.0), 1, "one that asks it seldom would find it out again and again");
 }
 
+#[test]
+fn a_read_is_refused_at_once_where_servers_report_queues_that_it_would_be_late_in() {
+    let tenants = vec![Tenant { quota_per_s: 500.0 }];
+    let base = Settings { balancers: 100, weights_are_sizes: true, tenants, ..settings() };
+    let mut node = Node::of(
+        Policy::new(Settings { load_fields: vec![LoadField::InFlight], ..base }, 7),
+        vec![ServerLine { weight: 4.0, ..server(1) }, origin()],
+    );
+    for (id, held, full) in [(1, 4.0, false), (2, 16.0, false), (3, 120.0, true), (4, 0.0, false)] {
+        assert_eq!(sent_to(&node.request(read(id, 9))), Some(1));
+        node.pass(100 * MS);
+        let load = Load { count: 1, values: [held, 0.0, 0.0, 0.0] };
+        let (status, note) = (Status::Served, Note::Hit);
+        let outcome =
+            Outcome { request: id, attempt: 0, server: 1, status, over: true, note, took: MS, load };
+        node.event(Event::Outcome(outcome));
+        // A full server is asked again once its report has faded.
+        let answer = node.request(read(100 + id, 9));
+        assert_eq!(refused(&answer, 100 + id), full, "{held} held by four cores, 100 ms each");
+        node.outcome(100 + id, 0, 1, Status::Served);
+        node.pass(4 * SECOND);
+    }
+}
+
 #[test]
 fn a_skip_is_held_back_while_the_origin_has_no_room_for_the_fetch_it_costs() {
     // Incidents ia996fa (the origin had room, queues at few servers) and iaa6bb1 (the gate refused).
