Presume a crowd at a server silent since a nearly late attempt

Reports come with answers; where answers take longer than clients wait, none comes, and the node sends there again: an attempt called off at its end counted as nothing, silence for an aim as one strike of three.

Ruled out: cold servers (the 42 new ones got two attempts at most in their first 1.5 s from all nodes), discovery (no failed call), lost zones (none).

At fault: patience() in src/brain.rs. An attempt nearly late, since which its server has answered nothing, now counts as the report that it can't give: as many requests held as take that long, at the pace of servers of late. The next answer's report takes its place. A node of a small fleet has heard from the server meanwhile.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -631,6 +631,7 @@
             self.hedge(id, f.server, out);
         } else if age < f.aim {
             self.zone_silent(f.server, f.sent, out);
+            self.presume_crowd(&f);
         }
         if age < f.aim {
             return self.wake(patience, Wake::Patience(id, attempt));
@@ -641,6 +642,17 @@
         }
     }
 
+    /// Against a jam that reports come too late from, since they come with its answers: a server that has
+    /// answered nothing since an attempt that is nearly late holds as many as take that long.
+    fn presume_crowd(&mut self, f: &Flight) {
+        let Some(s) = self.servers.get(&f.server).filter(|s| s.heard < f.sent && self.service > 0.0) else {
+            return;
+        };
+        let held = self.weight(s) * (1.0 + (self.now - f.sent) as f64 / self.service);
+        let held = held.max(self.held_by_all(s, 1.0));
+        self.servers.entry(f.server).and_modify(|s| s.reported = (held, self.now));
+    }
+
     /// How old an attempt must be for its answer to be lost. The more answers its server has lost of late,
     /// the sooner one is more likely lost than slow: by far, at e times the odds if times are exponential, so
     /// that the slow that are taken for lost are fewer than the share they are judged by.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -198,6 +198,36 @@
     }
 }
 
+#[test]
+fn a_server_that_has_answered_nothing_since_a_nearly_late_attempt_is_presumed_crowded() {
+    let goes_back = |wait: Micros| {
+        let tenants = vec![Tenant { quota_per_s: 500.0 }];
+        let config = Settings { balancers: 100, weights_are_sizes: true, tenants, ..settings() };
+        let mut lines: Vec<_> = (1..=4).map(|id| ServerLine { weight: 4.0, ..server(id) }).collect();
+        lines.push(origin());
+        let mut node = Node::of(Policy::new(config, 7), lines);
+        node.pass(10 * SECOND);
+        let first = sent_to(&node.request(read(1, 9))).unwrap();
+        node.pass(20 * MS);
+        node.outcome(1, 0, first, Status::Served);
+        node.pass(MS);
+        // Of a class that is sent no second copy; its aim is 150 ms, and answers take 20 ms.
+        let asked = Request { class: 1, time_left: 300 * MS, ..read(2, 9) };
+        assert_eq!(sent_to(&node.request(asked)), Some(first));
+        node.pass(wait);
+        node.outcome(2, 0, first, Status::Cancelled);
+        (3..=6)
+            .filter(|id| {
+                let to = sent_to(&node.request(read(*id, 9))).unwrap();
+                node.outcome(*id, 0, to, Status::Served);
+                to == first
+            })
+            .count()
+    };
+    assert_eq!(goes_back(100 * MS), 4, "slow, and not yet nearly late");
+    assert_eq!(goes_back(125 * MS), 0, "no report tells of it, nor will one before its answers come");
+}
+
 #[test]
 fn a_skip_is_held_back_while_the_origin_has_no_room_for_the_fetch_it_costs() {
     // Incidents ia996fa (the origin had room, queues at few servers) and iaa6bb1 (the gate refused).
