End a draining node only when no client is connected any more

Followed: request .. at n56, "2.774 draining: answers", "2.774 ends with 1 places of clients in use": the answer was handed to the connection's task, which never got to write it.

Line at fault: main.rs, idle = available_permits() >= part - 1. The one allowed for was the place that the listener holds for the next client. A listener that drains has returned and given it back, so that one client more was let go.

--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -83,7 +83,9 @@
             }
         }
     });
-    let idle = move || room.available_permits() >= part - 1;
+    // All of them: a listener that drains gives back the place that it kept for the next client, and were one
+    // allowed for it, the node would end before the last client had its answer.
+    let idle = move || room.available_permits() >= part;
     Node::new(config, deployment, clock, hub, (part, table), memory).run(inputs, phase_set, idle).await;
     Ok(())
 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -117,7 +117,7 @@
     let origin = no_origin();
     let (discovery, _say, _calls) = quiet();
     let settings = settings().replace("side_effect", "token");
-    let node = Node::start_in(discovery, &pair(cache.address, origin.address), 256, "", &settings);
+    let node = Node::start_in(discovery, &pair(cache.address, origin.address), (256, 16), "", &settings);
     let mut client = node.client();
     for facts in [
         "c=read,t=acme",
@@ -587,6 +587,33 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+#[test]
+fn on_sigterm_the_node_stays_until_the_last_client_has_its_answer() {
+    // Found on a rolling restart of 300 nodes: those with one client left ended with its answer unwritten.
+    let value = "v".repeat(3_900_000);
+    let cached = value.clone();
+    let cache = cache(move |_| Act::Say(hit(&cached)));
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let known = pair(cache.address, origin.address);
+    let mut node = Node::start_in(discovery, &known, (256, 192), "", settings());
+    let (mut client, mut idle) = (node.client(), node.client());
+    assert_eq!(idle.ask(&command(&["PING"])).unwrap(), "+PONG");
+    // More than the buffers between node and client hold, so that the last of it can't be written yet.
+    client.send(&["1", "2", "3"].map(|id| get("aa", id)).concat());
+    let answered: Vec<_> = (0..3).map(|_| cache.next()).collect();
+    assert_eq!(answered.len(), 3);
+    node.terminate();
+    assert_eq!(idle.answer(), None, "it has begun to close connections");
+    // Far beyond the few milliseconds in which a node that waits for nobody ends.
+    std::thread::sleep(Duration::from_millis(300));
+    for _ in 0..3 {
+        assert!(client.answer().is_some_and(|answer| answer == value), "whole");
+    }
+    assert_eq!(client.answer(), None);
+    assert_eq!(node.wait().code(), Some(0));
+}
+
 #[test]
 fn a_table_of_descriptors_that_is_full_does_not_end_the_node() {
     let cache = cache(|words| Act::Say(hit(&words[1])));
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -260,24 +260,24 @@
 
     /// Starts a node behind a shell command, such as a limit.
     pub fn start_with(discovery: SocketAddr, known: &str, sockets: usize, before: &str) -> Node {
-        Node::start_in(discovery, known, sockets, before, settings())
+        Node::start_in(discovery, known, (sockets, 16), before, settings())
     }
 
     /// Starts a node where lists are pushed.
     pub fn start_pushed(discovery: SocketAddr, known: &str) -> Node {
         let settings = settings().replace(r#""discovery":"ask""#, r#""discovery":"push""#);
-        Node::start_in(discovery, known, 256, "", &settings)
+        Node::start_in(discovery, known, (256, 16), "", &settings)
     }
 
     pub fn start_in(
         discovery: SocketAddr,
         known: &str,
-        sockets: usize,
+        (sockets, memory_mb): (usize, usize),
         before: &str,
         settings: &str,
     ) -> Node {
         let text = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets},"memory_mb":16}},"known":{known},"settings":{}}}"#,
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"0a","limits":{{"sockets":{sockets},"memory_mb":{memory_mb}}},"known":{known},"settings":{}}}"#,
             settings
         );
         let path = config_file(&text);
