--- a/src/brain.rs
+++ b/src/brain.rs
@@ -307,8 +307,8 @@
     }
 
     /// Level and depth of the bucket of attempts at a server, as cold as it is. Of many balancers the part of
-    /// each is less than one attempt: it begins with a random part of one owed, else the first attempts of all
-    /// would come at once and push the server over.
+    /// each is less than one attempt: it begins with a random part of one owed, else the first attempts of
+    /// all would come at once and push the server over.
     fn cold_bucket(&self, s: &Server) -> (f64, f64) {
         let rate = COLD_RATE * self.warmth(s) * self.share() * self.weight(s) / self.total / 1e6;
         let level = s.cold.0 - rate * (self.now - s.cold.1) as f64;
