--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,8 @@
 //! outstanding cap and a windowed tally; a call that finds the gate shut is postponed by a random delay.
 //! All else here is a departure for a failure that the code names.
 
+mod cold;
+
 use crate::interface::*;
 use crate::state::*;
 
@@ -64,8 +66,6 @@
 const POOL: f64 = 0.8;
 /// What a review keeps of the counts before it, while more than this many are left to judge by.
 const FADE: (f64, f64) = (0.85, 10.0);
-/// A cold server gets this multiple of a warm server's attempts, scaled by its present part of capacity.
-const COLD_RATE: f64 = 1.5;
 /// Part of the time within which discovery is to be asked that each further balancer's call takes.
 const CALL_SPREAD: f64 = 1.0 / 150.0;
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is.
@@ -289,32 +289,6 @@
         if self.settings.weights_are_sizes { -draw.ln() / self.weight(s) } else { -draw }
     }
 
-    /// Part of its capacity that a server has at the least, some time after its start.
-    fn warmth(&self, s: &Server) -> f64 {
-        let age = self.now.saturating_sub(s.line.started) as f64 / self.settings.warm_up.max(1) as f64;
-        let share = self.settings.cold_share;
-        if s.line.started == 0 { 1.0 } else { (share + (1.0 - share) * age).min(1.0) }
-    }
-
-    /// Against pushing a cold server over: it gets a part of its keys that grows as it warms, the same
-    /// keys from every balancer, and from each no more than a part of a warm server's requests.
-    fn warm_enough(&self, key: Key, s: &Server) -> bool {
-        let warmth = self.warmth(s);
-        let room = |(level, depth)| level < depth;
-        // A hot key would come from all balancers at once, from each within its bucket.
-        let hot = || self.recent.iter().filter(|recent| **recent == key).count() > 1;
-        warmth >= 1.0 || (unit_hash(key, s.line.id, 1) < warmth && room(self.cold_bucket(s)) && !hot())
-    }
-
-    /// Level and depth of the bucket of attempts at a server, as cold as it is. Of many balancers the part of
-    /// each is less than one attempt: it begins with a random part of one owed, else the first attempts of
-    /// all would come at once and push the server over.
-    fn cold_bucket(&self, s: &Server) -> (f64, f64) {
-        let rate = COLD_RATE * self.warmth(s) * self.share() * self.weight(s) / self.total / 1e6;
-        let level = s.cold.0 - rate * (self.now - s.cold.1) as f64;
-        (level.max(0.0), 1.0 + rate * self.settings.fall_after as f64 / 2.0)
-    }
-
     /// Requests a second that are this balancer's to serve.
     fn share(&self) -> f64 {
         if self.quota_share > 0.0 { self.quota_share } else { self.admitted.per_s }
