Keep the gate's windowed tally from falling under its cap on what is out

Line at fault: gate_open, the tally of 30 calls a second at the least in a window of a quarter of the longest aim. That is 3 calls in a tenth of a second, 2 of them fetches.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,8 +25,6 @@
 /// Gate: outstanding origin calls of one balancer at most, or what its share brings in this part of the
 /// longest aim where that is more; it starts from half of the first, the note's default.
 const GATE_OUT: (f64, f64) = (20.0, 0.1);
-/// Gate: calls a second, as a part of this balancer's share; at the least the note's.
-const GATE_RATE: (f64, f64) = (1.0, 30.0);
 /// Gate: its window as a part of the longest aim, short enough that what bursts over it can still wait.
 const GATE_WINDOW: f64 = 0.25;
 /// Gate: sub-limit of fetches, of both limits; writes have the rest for themselves.
@@ -326,12 +324,14 @@
         }
     }
 
-    /// Whether the outstanding cap and the windowed tally let one more call through.
+    /// Whether the outstanding cap and the windowed tally let one more call through. The window is hardly
+    /// longer than a call takes, so that a tally under the cap would take its place: of many balancers the
+    /// part of each is a call or two, and chance alone brings more.
     fn gate_open(&mut self, call: Call) -> bool {
         let window = self.aim as f64 * GATE_WINDOW;
-        let tally = (self.share() * GATE_RATE.0).max(GATE_RATE.1) * window / 1e6;
         self.gate.roll(self.now, window as Micros);
         let g = &self.gate;
+        let tally = (self.share() * window / 1e6).max(g.limit);
         let room = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
         let open = |i: usize, part: f64| room(g.out[i], g.limit * part) && room(g.tally[i], tally * part);
         let open = open(0, 1.0) && (call == Call::Write || open(1, GATE_FETCHES));
