--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,7 @@
 //! outstanding cap and a windowed tally; a call that finds the gate shut is postponed by a random delay.
 //! All else here is a departure for a failure that the code names.
 
+mod calls;
 mod cold;
 
 use crate::interface::*;
@@ -67,8 +68,6 @@
 const POOL: f64 = 0.8;
 /// What a review keeps of the counts before it, while more than this many are left to judge by.
 const FADE: (f64, f64) = (0.85, 10.0);
-/// Part of the time within which discovery is to be asked that each further balancer's call takes.
-const CALL_SPREAD: f64 = 1.0 / 150.0;
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is. What a
 /// key brings is judged by as many, or as many as there are servers.
 const HOT: usize = 64;
@@ -812,24 +811,6 @@
         self.total = self.ready(false).map(|s| self.weight(s)).sum::<f64>().max(0.01);
     }
 
-    /// Time over which the calls of all balancers to discovery are spread. It takes them one after another,
-    /// and one that has waited too long there fails and costs it as much: where many restart at once and call
-    /// in step, all but the first few fail, and so they do when they all call again soon.
-    fn calls_spread(&self) -> f64 {
-        let others = f64::from(self.settings.balancers.max(1) - 1);
-        self.settings.ask_within as f64 * (others * CALL_SPREAD).min(1.0)
-    }
-
-    /// Discovery has little capacity: it is asked again later each time, and not by all at once.
-    fn discovery_failed(&mut self, out: &mut Vec<Action>) {
-        let all = self.settings.ask_within as f64;
-        let base = (all / 16.0).max(self.calls_spread()) * f64::from(1 << self.subscribe_tries.min(3));
-        self.subscribe_tries += 1;
-        let delay = (base.min(all) * (0.5 + self.rng.unit())) as Micros;
-        self.wake(delay, Wake::Subscribe);
-        out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
-    }
-
     // Now and then.
 
     /// Moves the level that tenants are held to, by the strain seen lately. An equal part of a quota is a
--- /dev/null
+++ b/src/brain/calls.rs
@@ -0,0 +1,27 @@
+//! When discovery is called, the part of `brain.rs` that keeps the calls of many balancers out of step.
+
+use crate::interface::{Action, Micros};
+use crate::state::*;
+
+/// Part of the time within which discovery is to be asked that each further balancer's call takes.
+const CALL_SPREAD: f64 = 1.0 / 150.0;
+
+impl Policy {
+    /// Time over which the calls of all balancers to discovery are spread. It takes them one after another,
+    /// and one that has waited too long there fails and costs it as much: where many restart at once and call
+    /// in step, all but the first few fail, and so they do when they all call again soon.
+    pub(super) fn calls_spread(&self) -> f64 {
+        let others = f64::from(self.settings.balancers.max(1) - 1);
+        self.settings.ask_within as f64 * (others * CALL_SPREAD).min(1.0)
+    }
+
+    /// Discovery has little capacity: it is asked again later each time, and not by all at once.
+    pub(super) fn discovery_failed(&mut self, out: &mut Vec<Action>) {
+        let all = self.settings.ask_within as f64;
+        let base = (all / 16.0).max(self.calls_spread()) * f64::from(1 << self.subscribe_tries.min(3));
+        self.subscribe_tries += 1;
+        let delay = (base.min(all) * (0.5 + self.rng.unit())) as Micros;
+        self.wake(delay, Wake::Subscribe);
+        out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
+    }
+}
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -3,7 +3,11 @@
 
 #[test]
 fn the_decision_module_keeps_to_its_lines_and_columns() {
-    let files = [include_str!("../src/brain.rs"), include_str!("../src/brain/cold.rs")];
+    let files = [
+        include_str!("../src/brain.rs"),
+        include_str!("../src/brain/calls.rs"),
+        include_str!("../src/brain/cold.rs"),
+    ];
     let lines = files.map(|text| text.lines().filter(|line| !line.trim().is_empty()).count());
     assert!(lines[0] <= 800, "{} lines of brain.rs that are not blank, 800 at most", lines[0]);
     let all = lines.iter().sum::<usize>();
