Count what was given up unheard as strain, not as a quick answer

Lines at fault: learn, which counts every attempt that ends before it is slow as one that went well, but for Full. Ruled out: second copies (their losers end later, and are counted when they are slow).

One that was given up unheard after twice the time that a server takes is now a sign of strain, and sooner none at all.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -499,8 +499,10 @@
             self.busy.add(busy.min(1.0), 1.0);
         }
         // A late answer has been counted when it became late: waiting for its end would lag the overload.
-        if self.now - flight.sent < flight.slow_after {
-            self.strain.add(f64::from(u8::from(o.status == Status::Full)), 1.0);
+        // What was given up unheard sooner is no answer: to clients that wait for a moment all looked well.
+        let age = self.now - flight.sent;
+        if age < flight.slow_after && (!o.status.unheard() || age as f64 > 2.0 * self.service) {
+            self.strain.add(f64::from(u8::from(o.status.unheard() || o.status == Status::Full)), 1.0);
         }
         match o.status {
             // A server that fails each request at once looks idle and would draw ever more of them.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -720,6 +720,32 @@
     assert!(served[0] * 2 < asked[0], "at three times its quota: {} of {}", served[0], asked[0]);
 }
 
+#[test]
+fn clients_that_wait_for_a_moment_only_do_not_make_a_jam_look_like_quick_answers() {
+    // Found on join+mass: what was given up at 240 ms, before it was slow, counted as quick and well.
+    let turned_away = |wait: Micros| {
+        let config = Settings { tenants: vec![Tenant { quota_per_s: 20.0 }], ..settings() };
+        let mut node = Node::new(config, 20);
+        let mut refused = 0;
+        for id in 1..=400 {
+            node.pass(20 * MS);
+            let answer = node.request(Request { time_left: wait, ..read(id, id) });
+            refused += usize::from(id > 200 && sends(&answer) == 0);
+            let Some(to) = sent_to(&answer) else { continue };
+            if id % 4 == 0 {
+                node.pass(20 * MS);
+                node.outcome(id, 0, to, Status::Served);
+            } else {
+                node.pass(wait);
+                node.outcome(id, 0, to, Status::Cancelled);
+            }
+        }
+        refused
+    };
+    assert!(turned_away(200 * MS) > 50, "ten times what a server takes: {} of 200", turned_away(200 * MS));
+    assert_eq!(turned_away(12 * MS), 0, "too soon to tell");
+}
+
 #[test]
 fn a_fleet_many_times_too_slow_is_sent_well_under_half_of_the_quotas() {
     // Incident i4dbf06: every server eight times slower; 0.6 of the quotas kept the fleet jammed.
