Spread the calls to a discovery that moved, and keep the old watch till then

A reload called the new discovery at once (discovery.rs, move_to), from all nodes in step where all are told at once, and ended the old watch before the new one stood. Discovery takes calls one after another: the time in which all are to ask, 10 s, is spread over 300 nodes at a start, and was not at a move.

The module now says when (a new event tells it of the move), within 2.5 s, since what the new one has to tell counts as told after 4 s.

The test fails where the spread is 0.

--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -76,6 +76,8 @@
 /// The calls to discovery that are out: one watch and one whole list at most.
 pub struct Discovery {
     address: SocketAddr,
+    /// Where it is from the next call on.
+    moved: Option<SocketAddr>,
     /// Version of the list held.
     index: Arc<AtomicU64>,
     hub: mpsc::Sender<Input>,
@@ -88,22 +90,35 @@
 impl Discovery {
     /// Discovery at an address, where a list of a version is held.
     pub fn new(address: SocketAddr, index: u64, hub: mpsc::Sender<Input>) -> Self {
-        Discovery { address, index: Arc::new(AtomicU64::new(index)), hub, watch: None, fetch: None, era: 0 }
+        let index = Arc::new(AtomicU64::new(index));
+        Discovery { address, moved: None, index, hub, watch: None, fetch: None, era: 0 }
     }
 
-    /// Discovery is at another address from now on; the watch is opened there at once. Against a list that
-    /// stands still: the new one counts versions in its own way, so that the whole list is taken from it.
-    pub fn move_to(&mut self, address: SocketAddr, pushed: bool) {
-        self.fetch.take().inspect(AbortHandle::abort);
+    /// Discovery is at another address from the next call on. Until then the watch at the old one stays, which
+    /// goes on for a while after a move.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        self.moved = Some(address);
+    }
+
+    /// Whether it has moved, and no call has been made since.
+    pub fn moving(&self) -> bool {
+        self.moved.is_some()
+    }
+
+    /// Ends the calls that are out and turns to where discovery is now. Against a list that stands still: a new
+    /// one counts versions in its own way, so that the whole list is taken from it.
+    fn turn(&mut self) {
         self.watch.take().inspect(AbortHandle::abort);
-        (self.address, self.index) = (address, Arc::default());
-        self.era += 1;
-        if pushed { self.follow() } else { self.subscribe(true) }
+        if let Some(address) = self.moved.take() {
+            self.fetch.take().inspect(AbortHandle::abort);
+            (self.address, self.index) = (address, Arc::default());
+            self.era += 1;
+        }
     }
 
     /// Where discovery is.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.moved.unwrap_or(self.address)
     }
 
     /// Whether news is of the discovery that is in force.
@@ -127,7 +142,7 @@
 
     /// Begins the watch, anew if there is one, or ends it.
     pub fn subscribe(&mut self, on: bool) {
-        self.watch.take().inspect(AbortHandle::abort);
+        self.turn();
         let (address, line, index) = (self.address, self.line(), self.index.clone());
         let call = async move {
             report(watch(address, &index, &line).await);
@@ -152,6 +167,7 @@
 
     /// Where lists are pushed, an agent on this machine has them: its watch is opened again by itself.
     pub fn follow(&mut self) {
+        self.turn();
         let (address, line, index) = (self.address, self.line(), self.index.clone());
         let call = async move {
             let mut pause = BACKOFF.0;
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -233,6 +233,8 @@
             // Against what the discovery before the present one still had under way: its versions and its view
             // are no longer in force.
             Input::List(era, _) | Input::ListFailed(era) if !self.discovery.present(era) => {}
+            // The old one ends its watches, and the call to the new one is under way.
+            Input::ListFailed(_) if self.discovery.moving() => {}
             Input::Crowded => self.pool.drop_one_idle(),
             Input::Reload(config) => self.reload(&config),
             Input::List(_, listing) => self.list(listing, None),
@@ -256,7 +258,11 @@
             log("reload: changed settings take effect at the next start");
         }
         if config.discovery != self.discovery.address() {
-            self.discovery.move_to(config.discovery, !self.deployment.settings.ask_discovery);
+            self.discovery.move_to(config.discovery);
+            match self.deployment.settings.ask_discovery {
+                true => self.tell(Event::DiscoveryMoved),
+                false => self.discovery.follow(),
+            }
         }
         log(&format!("reload: discovery is at {}", config.discovery));
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -115,6 +115,7 @@
                     self.wake(after, Wake::Subscribe);
                 }
             }
+            Event::DiscoveryMoved => self.discovery_moved(),
             Event::Request(request) => self.request(request, out),
             Event::Outcome(outcome) => self.outcome(outcome, out),
             // A streamed answer belongs to the client from here on: nothing is owed, and no deadline runs.
--- a/src/brain/calls.rs
+++ b/src/brain/calls.rs
@@ -5,6 +5,9 @@
 
 /// Part of the time within which discovery is to be asked that each further balancer's call takes.
 const CALL_SPREAD: f64 = 1.0 / 150.0;
+/// Calls to a discovery that moved are spread over this time at the most: what it has to tell counts as told
+/// 4 s after the move, so that there must be time left for the call itself.
+const MOVED_SPREAD: f64 = 2_500_000.0;
 
 impl Policy {
     /// Time over which the calls of all balancers to discovery are spread. It takes them one after another,
@@ -15,6 +18,12 @@
         self.settings.ask_within as f64 * (others * CALL_SPREAD).min(1.0)
     }
 
+    /// Against a call in step: a configuration may move discovery for all balancers at once.
+    pub(super) fn discovery_moved(&mut self) {
+        let after = self.calls_spread().min(MOVED_SPREAD) * self.rng.unit();
+        self.wake(after as Micros, Wake::Subscribe);
+    }
+
     /// Discovery has little capacity: it is asked again later each time, and not by all at once.
     pub(super) fn discovery_failed(&mut self, out: &mut Vec<Action>) {
         let all = self.settings.ask_within as f64;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -335,6 +335,8 @@
         /// Its lines.
         servers: Vec<ServerLine>,
     },
+    /// Discovery is at another address from now on, and the next call goes there.
+    DiscoveryMoved,
     /// A client's request arrived; one final answer is owed from now on.
     Request(Request),
     /// An attempt ended.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1249,6 +1249,32 @@
     assert_eq!(blind, [0; 100], "one that knows no server can't serve before it has asked");
 }
 
+#[test]
+fn many_balancers_that_are_told_at_once_of_a_new_discovery_do_not_call_it_together() {
+    let calls = |balancers: u32| {
+        let call = |me: u32| {
+            let config = Settings { balancers, me, ask_discovery: true, ..settings() };
+            let mut node = Node::of(Policy::new(config, u64::from(me) + 1), vec![server(1), origin()]);
+            node.pass(20 * SECOND);
+            node.actions.clear();
+            let moved = node.now;
+            node.event(Event::DiscoveryMoved);
+            while !node.actions.contains(&Action::Subscribe(true)) {
+                node.pass(MS);
+            }
+            node.now - moved
+        };
+        let mut calls: Vec<_> = (0..balancers).map(call).collect();
+        calls.sort_unstable();
+        calls
+    };
+    let many = calls(300);
+    let most = many.iter().map(|from| many.iter().filter(|at| (*from..from + 250 * MS).contains(at)).count());
+    assert!(most.max().unwrap() < 60, "of 300, a tenth of the time each");
+    assert!(many[299] <= 2_500 * MS + MS, "what it tells counts as told after 4 s: {many:?}");
+    assert!(calls(2)[1] <= 100 * MS, "two have no need to wait");
+}
+
 #[test]
 fn a_failed_call_to_discovery_is_repeated_later_and_not_at_once() {
     let config = Settings { ask_discovery: true, ..settings() };
