Notice a client that leaves while nothing is read from its connection

Seen by reading, and shown by three tests: a client that has more requests open than are taken at once is not read from, and neither is one whose input is broken, that waits for memory, or that is being written to. Its close lies behind what is unread, so that its requests were held as if it were there: their misses were fetched, broken reads were tried again, and calls that waited for the gate were made, seconds after it had left.

Without the mend all three tests fail alike ("the node closes as well, and has not waited for the answers: left: Some("-BUSY"), right: None"); the client had closed, and the node went on until the requests' time was up.

Ruled out: the module (`ClientGone` drops the request, and neither a retry, a fetch nor a postponed call finds it); the node's loop (a connection that comes up for a request that is over is not written to: the fourth test, which passes with and without the mend and guards that).

At fault: `Session::run` in clients.rs, whose one branch that could see the close (`self.stream.readable(), if room && !long`) was off in those states. tokio tells of input until it is read, so the close could not be waited for beside unread input. Each piece of news is now taken once (socket.rs) and what is unread kept in mind; the close is then seen at any time.

--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -7,7 +7,6 @@
 use bytes::{Bytes, BytesMut};
 use spardeal::settings::Deployment;
 use spardeal::{Effect, Key, Micros};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time::{Instant, sleep_until};
@@ -16,6 +15,7 @@
 use crate::memory::{Memory, Share};
 use crate::node::{Clock, Input};
 use crate::resp;
+use crate::socket::{PIECE, Socket};
 
 /// Names a client's connection; never used twice.
 pub type ClientId = u64;
@@ -36,8 +36,6 @@
 const IDLE: Duration = Duration::from_secs(15);
 /// After an error that ends a connection, its client's input is read on for so long, and so much of it.
 const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
-/// Input is read in pieces of this size; a command that is longer has to wait for memory.
-const PIECE: usize = 4096;
 /// The longest key, id and list of facts.
 const MAX_WORD: usize = 512;
 /// The longest wait that a client may state, in milliseconds, unless its class allows for a longer one.
@@ -203,7 +201,7 @@
     let (answers, answered) = mpsc::channel(PIPELINE.1 + 1);
     let now = Instant::now();
     let mut session = Session {
-        stream,
+        socket: Socket::new(stream),
         client,
         answers,
         answered,
@@ -224,28 +222,10 @@
         let _ = session.front.hub.send(Input::ClientGone(client)).await;
     }
     if ended == Ended::Closed && session.broken {
-        let Session { mut stream, .. } = session;
-        linger(&mut stream).await;
+        session.socket.linger(LINGER).await;
     }
 }
 
-/// Reads on for a moment after the last answer: a close with input unread would reset the connection and
-/// could take the answer away from the client.
-async fn linger(stream: &mut TcpStream) {
-    let _ = stream.shutdown().await;
-    let mut sink = vec![0u8; 16 * 1024];
-    let rest = async {
-        let mut left = LINGER.1;
-        while left > 0 {
-            match stream.read(&mut sink).await {
-                Ok(count) if count > 0 => left = left.saturating_sub(count),
-                _ => return,
-            }
-        }
-    };
-    let _ = tokio::time::timeout(LINGER.0, rest).await;
-}
-
 /// The place of one answer.
 #[derive(Default)]
 struct Slot {
@@ -264,7 +244,7 @@
 }
 
 struct Session {
-    stream: TcpStream,
+    socket: Socket,
     client: ClientId,
     answers: mpsc::Sender<Answer>,
     answered: mpsc::Receiver<Answer>,
@@ -303,7 +283,7 @@
                 self.output = Some(Output { bytes, by: Instant::now() + WRITTEN, _share });
             }
             if let Some(output) = &mut self.output {
-                match self.stream.try_write(&output.bytes) {
+                match self.socket.try_write(&output.bytes) {
                     Ok(count) if count == output.bytes.len() => {
                         self.output = None;
                         self.idle_since = Instant::now();
@@ -330,7 +310,13 @@
             // Against commands that together are longer than the memory: the long ones wait their turn, with
             // the client's own buffers, and those that wait too long are turned away.
             let long = self.input.len() >= PIECE && self.long.is_none();
-            let between = !owes && self.input.is_empty();
+            let unread = self.socket.unread();
+            if self.socket.ended() && !(room && !long && unread) {
+                // Against requests that are sent on for a client that has left: it may leave while nothing is
+                // read, and for as long as its requests wait nothing may be.
+                return Ended::Gone;
+            }
+            let between = !owes && self.input.is_empty() && !unread;
             let spare_at = self.idle_since + SPARE;
             let spare = between && self.first > 0 && Instant::now() >= spare_at;
             let by = self.output.as_ref().map(|output| output.by);
@@ -345,13 +331,9 @@
                         *place = Slot { answer: Some((bytes, share)), open: None };
                     }
                 }
-                ready = self.stream.readable(), if room && !long => {
-                    if ready.is_err() {
-                        return Ended::Gone;
-                    }
+                () = tokio::task::yield_now(), if room && !long && unread => {
                     let empty = self.input.is_empty();
-                    self.input.reserve(PIECE);
-                    match self.stream.try_read_buf(&mut self.input) {
+                    match self.socket.try_read(&mut self.input) {
                         Ok(0) => return Ended::Gone,
                         Ok(_) if empty && self.whole_by.is_none() => {
                             self.whole_by = Some(Instant::now() + WHOLE);
@@ -362,8 +344,8 @@
                     }
                 }
                 share = memory.wait(2 * resp::MAX_VALUE), if room && long => self.long = Some(share),
-                ready = self.stream.writable(), if self.output.is_some() => {
-                    if ready.is_err() {
+                news = self.socket.news(self.output.is_some()) => {
+                    if news.is_err() {
                         return Ended::Gone;
                     }
                 }
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -10,6 +10,7 @@
 mod node;
 mod origin;
 mod resp;
+mod socket;
 mod upstreams;
 
 use std::io::Write;
--- /dev/null
+++ b/tests/node/leaving.rs
@@ -0,0 +1,180 @@
+//! A client that leaves while its request waits: nothing of it is sent on any more, wherever it waited.
+
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use socket2::{Domain, SockRef, Socket, Type};
+
+use crate::stand_in::*;
+use crate::{no_origin, pair, quiet};
+
+/// Answers that a stand-in holds back, each until it is told.
+struct Held {
+    go: Vec<Sender<()>>,
+    waits: Arc<Mutex<Vec<Receiver<()>>>>,
+}
+
+impl Held {
+    fn new() -> Held {
+        let (go, waits) = (0..64).map(|_| channel()).unzip();
+        Held { go, waits: Arc::new(Mutex::new(waits)) }
+    }
+
+    /// What makes such an answer; its connection ends behind it, so that its end tells that all was said.
+    fn act(&self) -> impl Fn(Vec<u8>) -> Act + Send + Clone + 'static {
+        let waits = self.waits.clone();
+        move |bytes| Act::SayAfterAndClose(waits.lock().unwrap().pop().expect("another to hold"), bytes)
+    }
+
+    /// Lets all go on, and waits until so many have ended.
+    fn release(&self, at: &StandIn, count: usize) {
+        for go in &self.go {
+            let _ = go.send(());
+        }
+        (0..count).for_each(|_| at.ended());
+    }
+}
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug)]
+enum Leave {
+    /// It closes its half, and sees the node close the other.
+    HalfClosed,
+    /// It resets the connection; that the node has noticed shows in the id, which is free again.
+    Reset,
+}
+
+/// Has a client leave, and waits until the node has noticed: not by the answer of the request, which is held.
+fn leave(node: &Node, mut client: Client, id: &str, how: Leave) {
+    match how {
+        Leave::HalfClosed => {
+            client.out.shutdown(Shutdown::Write).unwrap();
+            assert_eq!(client.answer(), None, "the node closes as well, and has not waited for the answers");
+        }
+        Leave::Reset => {
+            SockRef::from(&client.out).set_linger(Some(Duration::ZERO)).unwrap();
+            drop(client);
+            let mut other = node.client();
+            let free = || other.ask(&get("free", id)).unwrap() != "-ERR a request with this id is open";
+            assert!(std::iter::repeat_with(free).take(200_000).any(|free| free), "its id is free again");
+        }
+    }
+}
+
+/// Has a client ask more than is taken at once from one connection, and leave while so many of its requests are
+/// held at a stand-in; then lets these go on. Returns the node once all of them have their end.
+fn leave_behind_a_full_pipeline(
+    known: &str,
+    ask: impl Fn(&str) -> Vec<u8>,
+    (held, at, count): (&Held, &StandIn, usize),
+    how: Leave,
+) -> Node {
+    let (discovery, _say, _calls) = quiet();
+    let node = Node::start(discovery, known);
+    let mut client = node.client();
+    client.send(&(0..40).flat_map(|id| ask(&format!("p{id}"))).collect::<Vec<_>>());
+    for _ in 0..count {
+        assert!(at.next().words.concat().contains("aa"));
+    }
+    leave(&node, client, "p0", how);
+    held.release(at, count);
+    node
+}
+
+#[test]
+fn a_client_that_leaves_behind_a_full_pipeline_has_no_misses_fetched() {
+    for how in [Leave::HalfClosed, Leave::Reset] {
+        let held = Held::new();
+        let act = held.act();
+        let cache = cache(move |words| match words[1].as_str() {
+            "free" => Act::Say(hit("free")),
+            _ => act(miss()),
+        });
+        let origin = origin(|_| Act::Say(http(200, "", "made")));
+        let known = pair(cache.address, origin.address);
+        let node = leave_behind_a_full_pipeline(&known, |id| get("aa", id), (&held, &cache, 16), how);
+        assert_eq!(node.client().ask(&put("mark", "m", "v")).unwrap(), "made");
+        assert_eq!(origin.next().words[0], "PUT /mark HTTP/1.1", "{how:?}: nothing was fetched before");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_behind_a_full_pipeline_has_no_broken_reads_tried_again() {
+    for how in [Leave::HalfClosed, Leave::Reset] {
+        let held = Held::new();
+        let act = held.act();
+        let cache = cache(move |words| match words[1].as_str() {
+            "aa" => act(Vec::new()),
+            key => Act::Say(hit(key)),
+        });
+        let known = pair(cache.address, no_origin().address);
+        let node = leave_behind_a_full_pipeline(&known, |id| get("aa", id), (&held, &cache, 16), how);
+        assert_eq!(node.client().ask(&get("mark", "m")).unwrap(), "mark");
+        let next = || cache.next().words[1].clone();
+        let sent = std::iter::repeat_with(next).find(|key| key != "free");
+        assert_eq!(sent.unwrap(), "mark", "{how:?}: nothing was sent again before");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_behind_a_full_pipeline_has_nothing_sent_that_waits_for_the_gate() {
+    for how in [Leave::HalfClosed, Leave::Reset] {
+        let held = Held::new();
+        let act = held.act();
+        let cache = cache(|words| Act::Say(hit(&words[1])));
+        let origin = origin(move |words| match words[0].as_str() {
+            "PUT /mark HTTP/1.1" => Act::Say(http(200, "", "made")),
+            _ => act(http(200, "", "made")),
+        });
+        let known = pair(cache.address, origin.address);
+        // As many are out as the gate lets through at first.
+        let node = leave_behind_a_full_pipeline(&known, |id| put("aa", id, "v"), (&held, &origin, 10), how);
+        assert_eq!(node.client().ask(&put("mark", "m", "v")).unwrap(), "made");
+        assert_eq!(
+            origin.next().words[0],
+            "PUT /mark HTTP/1.1",
+            "{how:?}: the gate let nothing through before"
+        );
+    }
+}
+
+/// A cache server that takes no connections until told: its queue of newcomers is full.
+fn crowded() -> (Socket, SocketAddr, Vec<TcpStream>) {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    listener.listen(0).unwrap();
+    let address = listener.local_addr().unwrap().as_socket().unwrap();
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(300)).ok();
+    let fill: Vec<_> = std::iter::from_fn(connect).take(8).collect();
+    assert!(!fill.is_empty() && fill.len() < 8, "the queue is full");
+    (listener, address, fill)
+}
+
+#[test]
+fn a_client_that_leaves_while_a_connection_comes_up_has_nothing_written_to_it() {
+    let (listener, address, fill) = crowded();
+    let origin = origin(|_| Act::Say(http(200, "", "made")));
+    let (discovery, _say, _calls) = quiet();
+    // The network sends a lost greeting again after a second.
+    let settings = settings().replace(r#""connectTimeoutUs":2000000"#, r#""connectTimeoutUs":20000000"#);
+    let known = pair(address, origin.address);
+    let node = Node::start_in(discovery, &known, (256, 16), "", &settings);
+    let mut client = node.client();
+    client.send(&get("aa", "gone"));
+    // Behind it on the same connection, so that the node has taken it once this is at the origin.
+    client.send(&put("bb", "here", "v"));
+    assert_eq!(origin.next().words[0], "PUT /bb HTTP/1.1");
+    leave(&node, client, "gone", Leave::HalfClosed);
+    let (mut streams, count) = (Vec::new(), fill.len());
+    while streams.len() <= count {
+        streams.push(TcpStream::from(listener.accept().unwrap().0));
+    }
+    // The one that the node opened for the request is up. What it writes now is of the next request.
+    listener.listen(64).unwrap();
+    let cache = serve_on(listener.into(), streams, |words| Act::Say(hit(&words[2])));
+    assert_eq!(node.client().ask(&get("aa", "mark")).unwrap(), "mark");
+    assert_eq!(cache.next().words[2], "mark", "nothing was written before");
+    drop(fill);
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -1,6 +1,7 @@
 //! The real node over loopback sockets: one test for each failure that must not happen.
 #![allow(missing_docs)]
 
+mod leaving;
 mod stand_in;
 
 use std::io::Write;
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -16,6 +16,8 @@
     Say(Vec<u8>),
     /// Answers with these bytes once something comes through the channel.
     SayAfter(Receiver<()>, Vec<u8>),
+    /// Answers with these bytes once something comes through the channel, and ends the connection.
+    SayAfterAndClose(Receiver<()>, Vec<u8>),
     /// Answers with these bytes and ends the connection.
     SayAndClose(Vec<u8>),
     /// Answers with these bytes, and a moment later with the others.
@@ -57,11 +59,28 @@
     read: fn(&mut BufReader<TcpStream>) -> Option<Vec<String>>,
     act: impl FnMut(&[String]) -> Act + Send + Clone + 'static,
 ) -> StandIn {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    serve_from(TcpListener::bind("127.0.0.1:0").unwrap(), Vec::new(), read, act)
+}
+
+/// A cache server on a listener that has taken connections already.
+pub fn serve_on(
+    listener: TcpListener,
+    taken: Vec<TcpStream>,
+    act: impl FnMut(&[String]) -> Act + Send + Clone + 'static,
+) -> StandIn {
+    serve_from(listener, taken, read_command, act)
+}
+
+fn serve_from(
+    listener: TcpListener,
+    taken: Vec<TcpStream>,
+    read: fn(&mut BufReader<TcpStream>) -> Option<Vec<String>>,
+    act: impl FnMut(&[String]) -> Act + Send + Clone + 'static,
+) -> StandIn {
     let address = listener.local_addr().unwrap();
     let (tell, seen) = channel();
     std::thread::spawn(move || {
-        for (conn, stream) in listener.incoming().flatten().enumerate() {
+        for (conn, stream) in taken.into_iter().chain(listener.incoming().flatten()).enumerate() {
             let (mut act, tell) = (act.clone(), tell.clone());
             std::thread::spawn(move || {
                 connection(stream, conn as u32, read, &mut act, &tell);
@@ -90,6 +109,10 @@
                 let _ = wait.recv_timeout(LONG);
                 (bytes, false)
             }
+            Act::SayAfterAndClose(wait, bytes) => {
+                let _ = wait.recv_timeout(LONG);
+                (bytes, true)
+            }
             Act::SayMore(bytes, more) => {
                 if out.write_all(&bytes).is_err() {
                     return;
