Refuse at once what a draining node still reads behind an open request

Seen by reading, and shown by a test: a node that drains closes connections between requests. A connection that always has one open (its client sends the next before it has the answer) knows no such moment: the node went on taking and sending on, and what it took later than 0.55 s after SIGTERM could outlive the node, which ends 0.55 s after the longest deadline.

Without the mend the test finds both late reads at the cache server ("left: 2, right: 0", after 8.5 s, when the module gave them up).

At fault: `Session::command` in clients.rs, which asked for the node's phase for PING only.

--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -429,6 +429,12 @@
                     return self.answer_now("-BUSY\r\n");
                 }
                 self.late = false;
+                // Forced by the end of the process: on a connection that always has a request open there is no
+                // moment to close it in, and what is taken now could be unanswered when the platform kills the
+                // node. Refused, as it was never sent; another node takes it.
+                if *self.front.phase.borrow() == Phase::Draining {
+                    return self.answer_now("-BUSY\r\n");
+                }
                 let Some(id) = Id::claim(&command.id, &self.front.ids) else {
                     return self.answer_now("-ERR a request with this id is open\r\n");
                 };
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -588,6 +588,35 @@
     assert_eq!(node.wait().code(), Some(0));
 }
 
+#[test]
+fn on_sigterm_what_comes_late_behind_an_open_request_is_refused_and_not_left_unanswered() {
+    let (go, wait) = channel();
+    let wait = Arc::new(Mutex::new(Some(wait)));
+    let cache = cache(move |words| match words[1].as_str() {
+        "ee" => Act::SayAfter(wait.lock().unwrap().take().unwrap(), hit("slow")),
+        _ => Act::Hang,
+    });
+    let origin = no_origin();
+    let (discovery, _say, _calls) = quiet();
+    let mut node = Node::start(discovery, &pair(cache.address, origin.address));
+    let (mut client, mut idle) = (node.client(), node.client());
+    assert_eq!(idle.ask(&command(&["PING"])).unwrap(), "+PONG");
+    client.send(&get("ee", "1"));
+    cache.next();
+    node.terminate();
+    assert_eq!(idle.answer(), None, "it has begun to close connections");
+    // Never a moment without an open request: the first is held until the others have been read.
+    client.send(&[get("aa", "2"), command(&["PING"]), get("aa", "3")].concat());
+    go.send(()).unwrap();
+    for expected in ["slow", "-BUSY", "+PONG", "-BUSY"] {
+        assert_eq!(client.answer().unwrap(), expected);
+    }
+    assert_eq!(client.answer(), None);
+    assert_eq!(node.wait().code(), Some(0));
+    let sent = cache.seen.try_iter().filter(|seen| !seen.words.is_empty()).count();
+    assert_eq!(sent, 0, "none of them was sent on");
+}
+
 #[test]
 fn on_sigterm_the_node_stays_until_the_last_client_has_its_answer() {
     // Found on a rolling restart of 300 nodes: those with one client left ended with its answer unwritten.
