Send a keyed write again only while a connection may come up within its window

Seen by reading, and shown by a test: the repeat of a keyed write must reach its server within the window of the first send. The module kept an eighth of the window for that, whatever the time is in which the settings have a connection come up. With a window of 1.2 s and 0.3 s for a connection it sent a repeat 0.15 s before the end, whose connection may have come up 0.15 s after it: the repeat is dropped no more, and the effect happens twice.

Without the mend the test has it sent ("left: 1, right: 0", after 100 of 200 ms, a connection takes 110).

Ruled out: the network code (a connection that is not up in that time is given up, one that had ended unseen is replaced at once); the time that the first attempt waited for its own connection (the window runs from the module's word, which is earlier).

At fault: `may_repeat` in brain.rs, `window / 8`. Now it is the time for a connection where that is more; it moves from the node's part of the settings to the module's.

--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -255,7 +255,7 @@
     /// Opens the connection and carries one request after the other, until it is lost.
     async fn run(&mut self, address: SocketAddr) -> News {
         // A machine that vanished answers nothing: the connect has a time-out of its own.
-        let limit = Duration::from_micros(self.deployment.connect_timeout.max(1_000));
+        let limit = Duration::from_micros(self.deployment.settings.connect_timeout.max(1_000));
         let Ok(Ok(mut stream)) = tokio::time::timeout(limit, TcpStream::connect(address)).await else {
             return News::Lost { written: false };
         };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -413,7 +413,8 @@
                 let (first, next) = (self.servers.get(&first), self.servers.get(&server));
                 let shared = first.zip(next).is_some_and(|(a, b)| a.shares_group(b, group));
                 // Its last byte must come within the window, and may need a new connection first.
-                shared && self.now + 2 * self.settings.tick + window / 8 < sent + window
+                let reserve = 2 * self.settings.tick + self.settings.connect_timeout.max(window / 8);
+                shared && self.now + reserve < sent + window
             }
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -64,6 +64,8 @@
     pub fall_after: Micros,
     /// Sends to a draining or gone server must stop within this time.
     pub drain_grace: Micros,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Micros,
 }
 
 impl Default for Settings {
@@ -94,6 +96,7 @@
             fall_multiple: 3.0,
             fall_after: 2_000_000,
             drain_grace: 500_000,
+            connect_timeout: 250_000,
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,8 +19,6 @@
     pub kinds: Vec<String>,
     /// Names of the figures in a load report, in the order of [`Settings::load_fields`].
     pub load_names: Vec<String>,
-    /// A connection that is not up by then has failed.
-    pub connect_timeout: Micros,
     /// Servers close a connection that was idle for this long.
     pub idle_close: Micros,
     /// Requests that a node may hold open at once.
@@ -168,7 +166,7 @@
             peers: false,
             retry_after: false,
             max_retry_after_us: 0.0,
-            connect_timeout_us: 250_000.0,
+            connect_timeout_us: Settings::default().connect_timeout as f64,
             idle_close_us: 15_000_000.0,
             max_open: 20_000,
         }
@@ -224,6 +222,7 @@
         fall_multiple: wire.guarantees.fall_multiple,
         fall_after: micros(wire.guarantees.tip_after_us),
         drain_grace: micros(wire.guarantees.drain_grace_us),
+        connect_timeout: micros(limits.connect_timeout_us),
     };
     Ok(Deployment {
         settings,
@@ -232,7 +231,6 @@
         zones: wire.zones,
         kinds: wire.machine_types,
         load_names: wire.report.fields,
-        connect_timeout: micros(limits.connect_timeout_us),
         idle_close: micros(limits.idle_close_us),
         max_open: limits.max_open,
     })
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -502,6 +502,18 @@
     assert!(failed(&node.outcome(3, 0, ORIGIN, Status::Spoilt), 3));
 }
 
+#[test]
+fn a_keyed_write_goes_again_only_while_a_connection_may_still_come_up_within_its_window() {
+    for (after, connect_timeout, again) in [(100, 20, 1), (100, 90, 1), (100, 110, 0), (180, 20, 0)] {
+        let mut node = Node::new(Settings { connect_timeout: connect_timeout * MS, ..settings() }, 1);
+        node.request(write(1, 1));
+        node.pass(after * MS);
+        let next = node.outcome(1, 0, ORIGIN, Status::Reset);
+        assert_eq!(sends(&next), again, "after {after} of 200 ms, a connection takes {connect_timeout}");
+        assert_eq!(failed(&next, 1), again == 0);
+    }
+}
+
 #[test]
 fn spoilt_answers_and_broken_connections_of_the_origin_do_not_lower_the_gate() {
     let mut node = Node::new(settings(), 4);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -25,6 +25,7 @@
         classes: vec![read, write, once],
         origin_kind: Some(ORIGIN_KIND),
         max_attempts: 4,
+        connect_timeout: 20 * MS,
         ..Settings::default()
     }
 }
