Read lists on a watch by their own ends, not by those of their lines

Seen by reading, and shown by a test: "Lists may come indented", and one that does so lies on many lines. An answer of a stated length was taken as one list; a chunked one, which every watch is, was cut at its line ends and each line read as a list. The first line of an indented list, "{", ended the watch ("discovery: brought no list, or one that was cut off"), and so did that of each call after it: nothing was learned any more, drains included.

Without the mend the test never sees the list come into force (after 32 s).

Ruled out: chunks (they are joined before lists are read: the list of the test is cut into chunks anywhere); the list's reader (it takes white space).

At fault: the loop over line ends in `lists` in discovery.rs. Lists are now taken off the front as they are whole; what is not whole waits for the rest. A line that can never become a list still ends the call at once.

--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use serde::Deserialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -60,6 +60,8 @@
 const SILENCE: Duration = Duration::from_secs(3);
 /// Pauses before a watch on pushed lists is opened again: the first, and the longest.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// Answers are read in pieces of this size.
+const PIECE: usize = 16 * 1024;
 /// The longest list.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
@@ -236,7 +238,7 @@
     stream.write_all(request.as_bytes()).await?;
     let (mut raw, mut body) = (BytesMut::new(), BytesMut::new());
     let head = loop {
-        raw.reserve(4096);
+        raw.reserve(PIECE);
         let count = tokio::time::timeout(ANSWER, stream.read_buf(&mut raw)).await.map_err(silent)??;
         match http::head(&raw).map_err(|_| CallError::Garbage)? {
             Some(head) => break head,
@@ -261,30 +263,46 @@
             body.extend_from_slice(&part);
             ended |= left == 0;
         }
-        // A body of a stated length is one list, on however many lines; else each line is one.
-        let whole = head.content_length.is_some();
-        while !whole && let Some(end) = body.iter().position(|byte| *byte == b'\n') {
-            pass_on(&body.split_to(end + 1), to).await?;
-            patience = SILENCE;
+        // Lists may come indented: what ends one is its end, not that of a line.
+        if ended || body.contains(&b'\n') {
+            let heard = pass_on(&mut body, to).await?;
+            patience = if heard { SILENCE } else { patience };
         }
         if ended {
-            return pass_on(&body, to).await;
+            // What is left over is a list that was cut off.
+            return if body.is_empty() { Ok(()) } else { Err(CallError::Garbage) };
         }
         if body.len() > MAX_LIST {
             return Err(CallError::Garbage);
         }
-        raw.reserve(4096);
+        raw.reserve(PIECE);
         if tokio::time::timeout(patience, stream.read_buf(&mut raw)).await.map_err(silent)?? == 0 {
-            // What is left over is a line that was cut off.
             return Err(CallError::Garbage);
         }
     }
 }
 
-async fn pass_on(line: &[u8], to: &Line) -> Result<(), CallError> {
-    if !line.trim_ascii().is_empty() {
-        let listing = serde_json::from_slice(line).map_err(|_| CallError::Garbage)?;
-        let _ = to.hub.send(Input::List(to.era, listing)).await;
+/// Takes the lists that are whole off the front and passes them on; tells whether there was one, or an empty
+/// line.
+async fn pass_on(body: &mut BytesMut, to: &Line) -> Result<bool, CallError> {
+    let mut lists = serde_json::Deserializer::from_slice(body).into_iter::<Listing>();
+    let (mut whole, mut taken) = (Vec::new(), 0);
+    while let Some(list) = lists.next() {
+        match list {
+            Ok(list) => {
+                whole.push(list);
+                taken = lists.byte_offset();
+            }
+            Err(e) if e.is_eof() => break,
+            Err(_) => return Err(CallError::Garbage),
+        }
+    }
+    let rest = &body[taken..];
+    let blank = rest.len() - rest.trim_ascii_start().len();
+    let heard = taken > 0 || rest[..blank].contains(&b'\n');
+    body.advance(taken + blank);
+    for list in whole {
+        let _ = to.hub.send(Input::List(to.era, list)).await;
     }
-    Ok(())
+    Ok(heard)
 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -392,6 +392,34 @@
     assert_eq!(client.ask(&get("aa", "1")).unwrap(), "aa");
 }
 
+#[test]
+fn a_list_may_come_indented_over_several_lines_and_chunks_on_a_watch_and_with_a_stated_length() {
+    let caches = ["first", "second", "third"].map(|name| cache(move |_| Act::Say(hit(name))));
+    let origin = no_origin();
+    let indented = |index, at: &StandIn| {
+        let list: serde_json::Value = serde_json::from_str(&pair(at.address, origin.address)).unwrap();
+        let mut list = list.as_object().unwrap().clone();
+        list["index"] = index;
+        serde_json::to_string_pretty(&list).unwrap()
+    };
+    let stated = http(200, "", &indented(6.into(), &caches[1]));
+    let (discovery, say, calls) = discovery(vec![stated, watch_head()]);
+    let node = Node::start(discovery, &pair(caches[0].address, origin.address));
+    let mut client = node.client();
+    let mut becomes = |name| (0..100_000).any(|_| client.ask(&get("aa", "1")).unwrap() == name);
+    assert!(becomes("second"), "an answer of a stated length is one list");
+    for _ in 0..2 {
+        calls.recv_timeout(LONG).unwrap();
+    }
+    let list = indented(7.into(), &caches[2]);
+    for part in list.as_bytes().chunks(list.len() / 5) {
+        say.send(chunk(std::str::from_utf8(part).unwrap())).unwrap();
+    }
+    say.send(chunk("\n\n")).unwrap();
+    assert!(becomes("third"), "and on a watch each list ends where it ends");
+    assert!(calls.try_recv().is_err(), "on the same call");
+}
+
 #[test]
 fn a_server_that_moved_is_found_at_its_new_address() {
     let (old, new) = (cache(|_| Act::Say(hit("old"))), cache(|_| Act::Say(hit("new"))));
