Hold a watch to one line in each time of silence, however its bytes trickle

Seen by reading, and shown by a test: a watch that stood still in mid line, but for a byte now and then, was never given up. Each read began the time of silence anew, so that a byte every 2.9 s kept a watch that would never bring a list, and so did the head of an answer.

Without the mend the test waits 20 s for a second call, in vain, while white space comes inside a list that does not end.

Ruled out: empty lines between lists, which tell that a watch is alive and still do; a list that is long (it comes at once or not at all on a network that works, and is held to 4 MiB).

At fault: the two `timeout(..., stream.read_buf(...))` in `lists` in discovery.rs. Both limits are points in time now.

--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout_at};
 
 use crate::http::{self, Chunks};
 use crate::log;
@@ -237,9 +238,11 @@
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
     stream.write_all(request.as_bytes()).await?;
     let (mut raw, mut body) = (BytesMut::new(), BytesMut::new());
+    // All limits are points in time: what trickles in moves none of them.
+    let by = Instant::now() + ANSWER;
     let head = loop {
         raw.reserve(PIECE);
-        let count = tokio::time::timeout(ANSWER, stream.read_buf(&mut raw)).await.map_err(silent)??;
+        let count = timeout_at(by, stream.read_buf(&mut raw)).await.map_err(silent)??;
         match http::head(&raw).map_err(|_| CallError::Garbage)? {
             Some(head) => break head,
             None if count == 0 => return Err(CallError::Garbage),
@@ -253,7 +256,7 @@
     let mut chunks = Chunks::default();
     let mut left = head.content_length.unwrap_or(usize::MAX);
     let mut ended = false;
-    let mut patience = ANSWER;
+    let mut by = Instant::now() + ANSWER;
     loop {
         if head.chunked {
             ended |= chunks.take(&mut raw, &mut body).map_err(|_| CallError::Garbage)?;
@@ -266,7 +269,7 @@
         // Lists may come indented: what ends one is its end, not that of a line.
         if ended || body.contains(&b'\n') {
             let heard = pass_on(&mut body, to).await?;
-            patience = if heard { SILENCE } else { patience };
+            by = if heard { Instant::now() + SILENCE } else { by };
         }
         if ended {
             // What is left over is a list that was cut off.
@@ -276,7 +279,7 @@
             return Err(CallError::Garbage);
         }
         raw.reserve(PIECE);
-        if tokio::time::timeout(patience, stream.read_buf(&mut raw)).await.map_err(silent)?? == 0 {
+        if timeout_at(by, stream.read_buf(&mut raw)).await.map_err(silent)?? == 0 {
             return Err(CallError::Garbage);
         }
     }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -420,6 +420,39 @@
     assert!(calls.try_recv().is_err(), "on the same call");
 }
 
+/// Discovery whose first call brings some of a list and from then on a byte now and then, but never its end.
+fn dribbling() -> (SocketAddr, std::sync::mpsc::Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, calls) = channel();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = tell.send(());
+            let begun = [watch_head(), chunk("\n"), chunk("{\"index\":6,")].concat();
+            let mut says = stream.write_all(&begun);
+            std::thread::spawn(move || {
+                while says.is_ok() {
+                    std::thread::sleep(Duration::from_millis(50));
+                    says = stream.write_all(&chunk("\n"));
+                }
+            });
+        }
+    });
+    (address, calls)
+}
+
+#[test]
+fn a_watch_that_stands_still_in_mid_line_is_opened_anew_whatever_trickles_in() {
+    let cache = cache(|_| Act::Say(hit("kept")));
+    let origin = no_origin();
+    let (discovery, calls) = dribbling();
+    let node = Node::start(discovery, &pair(cache.address, origin.address));
+    for _ in 0..2 {
+        calls.recv_timeout(LONG).expect("a call");
+    }
+    assert_eq!(node.client().ask(&get("aa", "1")).unwrap(), "kept", "the list held stays in force");
+}
+
 #[test]
 fn a_server_that_moved_is_found_at_its_new_address() {
     let (old, new) = (cache(|_| Act::Say(hit("old"))), cache(|_| Act::Say(hit("new"))));
