Call discovery again within 2 s after a silence, not 5 to 15 s at 300 nodes

What a watch misses counts as told 6 s after it fell silent; 50 servers began to drain at 7.5 s.

Ruled out: a call that is slow or turned away (the calls were made that late); the time of silence alone (3 of 6 s).

At fault: `discovery_failed` in brain/calls.rs took a silence for a failure, and puts the call off by 0.5 to 1.5 times all the time within which discovery is to be asked, as befits one that is down or overbooked. And the limits in discovery.rs: 3 s of silence, 4 s for a new call that may be silent as well.

A silence is now an event of its own: the call after it is spread over 2 s at the most, which with 2.5 s of silence and 1 s to connect stays within the 6 s; with few nodes even a second silence in a row does. From the third on it is taken for a failure.

The test fails without the branch in `handle` (calls up to 15 s later).

--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -54,11 +54,12 @@
 }
 
 const CONNECT: Duration = Duration::from_secs(1);
-/// Calls wait in turn at discovery: it is given this long to begin its answer.
-const ANSWER: Duration = Duration::from_secs(4);
-/// A watch brings a line every two seconds: one that is silent for longer is dead. What it had to tell counts
-/// as told after six seconds, so that there must be time left to ask anew.
-const SILENCE: Duration = Duration::from_secs(3);
+/// Calls wait in turn at discovery: it is given this long to begin its answer. What it has to tell counts as
+/// told six seconds after it fell silent, and the call after a silence may be silent too: with these two limits
+/// there is time for a third.
+const ANSWER: Duration = Duration::from_millis(2_500);
+/// A watch brings a line every two seconds: one that is silent for longer is dead.
+const SILENCE: Duration = Duration::from_millis(2_500);
 /// Pauses before a watch on pushed lists is opened again: the first, and the longest.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 /// Answers are read in pieces of this size.
@@ -148,8 +149,8 @@
         self.turn();
         let (address, line, index) = (self.address, self.line(), self.index.clone());
         let call = async move {
-            report(watch(address, &index, &line).await);
-            let _ = line.hub.send(Input::ListFailed(line.era)).await;
+            let failure = report(watch(address, &index, &line).await);
+            let _ = line.hub.send(Input::ListFailed(line.era, failure)).await;
         };
         self.watch = on.then(|| tokio::spawn(call).abort_handle());
     }
@@ -160,9 +161,8 @@
         let (address, line) = (self.address, self.line());
         let call = async move {
             let called = lists(address, "/v1/servers", &line).await;
-            if let Err(e) = called {
-                log(&format!("discovery: {e}"));
-                let _ = line.hub.send(Input::ListFailed(line.era)).await;
+            if called.is_err() {
+                let _ = line.hub.send(Input::ListFailed(line.era, report(called))).await;
             }
         };
         self.fetch = Some(tokio::spawn(call).abort_handle());
@@ -186,6 +186,15 @@
     }
 }
 
+/// How a call to discovery failed, as far as it matters for the next.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Failure {
+    /// It was silent for too long: what it should have told counts as told soon.
+    Silent,
+    /// It was turned away, broke or could not be made.
+    Other,
+}
+
 /// Why a call to discovery ended.
 enum CallError {
     /// It broke, or could not be made.
@@ -223,11 +232,13 @@
     lists(address, &path, line).await
 }
 
-fn report(called: Result<(), CallError>) {
-    match called {
+/// Logs how a call ended, and tells as much as matters.
+fn report(called: Result<(), CallError>) -> Failure {
+    match &called {
         Ok(()) => log("discovery: the watch has ended"),
         Err(e) => log(&format!("discovery: {e}")),
     }
+    if matches!(called, Err(CallError::Silent)) { Failure::Silent } else { Failure::Other }
 }
 
 /// Makes a call and passes on each line of its answer that holds a list, until the answer ends.
@@ -256,7 +267,7 @@
     let mut chunks = Chunks::default();
     let mut left = head.content_length.unwrap_or(usize::MAX);
     let mut ended = false;
-    let mut by = Instant::now() + ANSWER;
+    let mut by = Instant::now() + SILENCE;
     loop {
         if head.chunked {
             ended |= chunks.take(&mut raw, &mut body).map_err(|_| CallError::Garbage)?;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -106,6 +106,7 @@
         self.now = now;
         match event {
             Event::ServerList { kind: ListKind::Failed, .. } => self.discovery_failed(out),
+            Event::ServerList { kind: ListKind::Silent, .. } => self.discovery_silent(out),
             Event::ServerList { kind, servers } => {
                 self.server_list(kind, servers);
                 if kind == ListKind::Cached {
--- a/src/brain/calls.rs
+++ b/src/brain/calls.rs
@@ -8,6 +8,11 @@
 /// Calls to a discovery that moved are spread over this time at the most: what it has to tell counts as told
 /// 4 s after the move, so that there must be time left for the call itself.
 const MOVED_SPREAD: f64 = 2_500_000.0;
+/// Calls after a silence are spread over this time at the most: what was missed counts as told 6 s after the
+/// silence began, of which the node takes 2.5 s to be sure of it, and a connection may take 1 s to come up.
+const SILENT_SPREAD: f64 = 2_000_000.0;
+/// Silences in a row, after which discovery is taken for failed.
+const SILENT_TRIES: u32 = 2;
 
 impl Policy {
     /// Time over which the calls of all balancers to discovery are spread. It takes them one after another,
@@ -24,6 +29,18 @@
         self.wake(after as Micros, Wake::Subscribe);
     }
 
+    /// Against what a silent discovery does not tell: the next call can't be put off for as long as after a
+    /// failure, which tells that discovery is down or overbooked.
+    pub(super) fn discovery_silent(&mut self, out: &mut Vec<Action>) {
+        if self.subscribe_tries >= SILENT_TRIES {
+            return self.discovery_failed(out);
+        }
+        self.subscribe_tries += 1;
+        let after = self.calls_spread().min(SILENT_SPREAD) * self.rng.unit();
+        self.wake(after as Micros, Wake::Subscribe);
+        out.push(Action::Log("discovery is silent: asking again".into()));
+    }
+
     /// Discovery has little capacity: it is asked again later each time, and not by all at once.
     pub(super) fn discovery_failed(&mut self, out: &mut Vec<Action>) {
         let all = self.settings.ask_within as f64;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,6 +231,9 @@
     Delta,
     /// A call to discovery failed or the subscription broke; the list held stays in force.
     Failed,
+    /// A call to discovery or the subscription fell silent; the list held stays in force, and what it misses
+    /// counts as told some seconds later.
+    Silent,
 }
 
 /// A client's request.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1222,7 +1222,7 @@
 }
 
 /// How long each of so many balancers, told the same at the same instant, waits before its call to discovery.
-fn next_calls(balancers: u32, servers: Vec<ServerLine>, fails: bool) -> Vec<Micros> {
+fn next_calls(balancers: u32, servers: Vec<ServerLine>, fails: Option<ListKind>) -> Vec<Micros> {
     let until_call = |node: &mut Node| {
         let begun = node.now;
         while !node.actions.contains(&Action::Subscribe(true)) && node.now < begun + 60 * SECOND {
@@ -1234,11 +1234,9 @@
         let config = Settings { balancers, me, ask_discovery: true, ..settings() };
         let mut node = Node::of(Policy::new(config, u64::from(me) + 1), servers.clone());
         let first = until_call(&mut node);
-        if !fails {
-            return first;
-        }
+        let Some(kind) = fails else { return first };
         node.actions.clear();
-        node.list(ListKind::Failed, Vec::new());
+        node.list(kind, Vec::new());
         until_call(&mut node)
     };
     (0..balancers).map(call).collect()
@@ -1247,20 +1245,44 @@
 #[test]
 fn many_balancers_that_start_or_fail_together_do_not_call_discovery_together() {
     let servers = || vec![server(1), origin()];
-    for fails in [false, true] {
+    for fails in [None, Some(ListKind::Failed)] {
         let mut calls = next_calls(100, servers(), fails);
         calls.sort_unstable();
         let most = (0..calls.len()).map(|i| calls[i..].iter().filter(|at| **at < calls[i] + SECOND).count());
         let (most, last) = (most.max().unwrap(), calls[99]);
-        assert!(most <= 30, "{most} of 100 within a second, after a failure: {fails}");
+        assert!(most <= 30, "{most} of 100 within a second, after {fails:?}");
         assert!(last <= 10 * SECOND + MS, "the last after {last}: later it counts as told what it was not");
     }
-    let few = next_calls(2, servers(), false);
+    let few = next_calls(2, servers(), None);
     assert!(few.iter().all(|at| *at < 150 * MS), "two have no need to wait: {few:?}");
-    let blind = next_calls(100, Vec::new(), false);
+    let blind = next_calls(100, Vec::new(), None);
     assert_eq!(blind, [0; 100], "one that knows no server can't serve before it has asked");
 }
 
+#[test]
+fn a_silent_discovery_is_called_again_before_what_it_missed_counts_as_told_however_many_balancers_there_are()
+{
+    let mut calls = next_calls(300, vec![server(1), origin()], Some(ListKind::Silent));
+    calls.sort_unstable();
+    assert!(calls[299] <= 2_000 * MS + MS, "of 6 s since it fell silent, 2.5 s are gone: {calls:?}");
+    assert!(calls[299] - calls[0] > SECOND, "and yet not all at once");
+    let few = next_calls(3, vec![server(1), origin()], Some(ListKind::Silent));
+    assert!(few.iter().all(|at| *at < 150 * MS), "few have no need to wait: {few:?}");
+    // One that is silent time after time is as good as down.
+    let config = Settings { ask_discovery: true, ..settings() };
+    let mut node = Node::new(config, 3);
+    let waits = [0; 3].map(|_| {
+        node.actions.clear();
+        node.list(ListKind::Silent, Vec::new());
+        let silent = node.now;
+        while !node.actions.contains(&Action::Subscribe(true)) {
+            node.pass(MS);
+        }
+        node.now - silent
+    });
+    assert!(waits[0] < 150 * MS && waits[1] < 150 * MS && waits[2] > SECOND, "{waits:?}");
+}
+
 #[test]
 fn many_balancers_that_are_told_at_once_of_a_new_discovery_do_not_call_it_together() {
     let calls = |balancers: u32| {
