Look at the socket itself before a request is written to a kept connection

Seen by reading, and shown by two tests: before it writes a request, a connection's task reads, so that one that the server has ended, or that brought a second answer, gets no request. But it asked the runtime, and the runtime knows what has come only from its last look at all sockets. What came since then, a tick or more on a busy node, was not seen:

- an end: the request was written behind it and counted as one that may have run.
A write that may not run twice then failed for nothing.
- a second answer: it was read as the answer of the request just written, that is, served to a client that had asked for something else.

Without the mend: "Lost { written: true }" where nothing was taken, and "Answer(Reply { status: Served, ..., value: Some(b"stale"), keep: true })".

Ruled out: the rest of 15 ms after an answer, which covers what comes behind it in that time and not what comes later; idle limits (half of the server's).

At fault: the `select!` in `Link::run` in upstreams.rs, and the look behind an answer (`try_read`), which went through the runtime as well. Both now peek at the socket. The tests hand a request over with no look of the runtime in between, on one thread, so that the order is the same every time.

--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -2,11 +2,14 @@
 //! in order and a slow answer would stall those behind it.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
 use spardeal::settings::Deployment;
 use spardeal::{Load, Micros, Note, RequestId, ServerId, Status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -241,6 +244,12 @@
     }
 }
 
+/// Whether nothing has come on a connection, neither bytes nor its end, by the machine's word.
+fn silent(stream: &TcpStream) -> bool {
+    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+}
+
 /// One connection, in its task.
 struct Link {
     id: ConnId,
@@ -279,6 +288,11 @@
                 job = self.jobs.recv() => job,
             };
             let Some(job) = job else { return News::Lost { written: false } };
+            // Against a request written behind an end, or behind an answer that nobody waits for, that came in
+            // the very moment: the runtime tells of what is there a little later than it is there.
+            if !silent(&stream) {
+                return News::Lost { written: false };
+            }
             if stream.write_all(&job).await.is_err() {
                 return News::Lost { written: false };
             }
@@ -317,7 +331,7 @@
                 }
             };
             // Bytes beyond the answer belong to no request: nothing after them could be matched.
-            let more = !buffer.is_empty() || stream.try_read(&mut [0]).is_ok();
+            let more = !buffer.is_empty() || !silent(&stream);
             let keep = reply.keep && !more;
             buffer = BytesMut::new();
             news = News::Answer(Reply { keep, ..reply });
@@ -327,3 +341,59 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io::{Read, Write};
+
+    use super::*;
+
+    /// What becomes of a request that is handed to a connection in the very moment in which its server does
+    /// something, and what the server had of it: the runtime does not look at the sockets between the two.
+    fn crossed(does: fn(&mut std::net::TcpStream)) -> (News, Vec<u8>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = listener.local_addr().unwrap();
+            let (hub, mut inputs) = mpsc::channel(8);
+            let (say, jobs) = mpsc::channel(1);
+            let deployment = Arc::new(spardeal::settings::read(b"{}").unwrap());
+            let memory = Memory::new(64);
+            let mut link = Link { id: 1, speech: Speech::Resp, deployment, memory, jobs, hub };
+            let mut task = tokio::spawn(async move { link.run(address).await });
+            assert!(matches!(inputs.recv().await, Some(Input::Conn(1, News::Up))));
+            let mut server = listener.accept().unwrap().0;
+            // Until the task has nothing to do but wait.
+            for _ in 0..10 {
+                tokio::task::yield_now().await;
+            }
+            does(&mut server);
+            say.try_send(Bytes::from_static(b"request")).unwrap();
+            let news = tokio::select! {
+                ended = &mut task => ended.unwrap(),
+                Some(Input::Conn(1, news)) = inputs.recv() => news,
+            };
+            task.abort();
+            while !task.is_finished() {
+                tokio::task::yield_now().await;
+            }
+            let mut had = Vec::new();
+            let _ = server.read_to_end(&mut had);
+            (news, had)
+        })
+    }
+
+    #[test]
+    fn a_request_handed_over_as_its_server_ends_the_connection_was_surely_never_sent() {
+        let (news, had) = crossed(|server| server.shutdown(std::net::Shutdown::Write).unwrap());
+        assert!(matches!(news, News::Lost { written: false }), "{news:?}");
+        assert_eq!(had, b"");
+    }
+
+    #[test]
+    fn an_answer_that_comes_as_a_request_is_handed_over_is_not_taken_for_its_answer() {
+        let (news, had) = crossed(|server| server.write_all(b"*3\r\n$5\r\nstale\r\n$-1\r\n$-1\r\n").unwrap());
+        assert!(matches!(news, News::Lost { written: false }), "{news:?}");
+        assert_eq!(had, b"");
+    }
+}
