--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -1,11 +1,11 @@
 //! A client that leaves while its request waits: nothing of it is sent on any more, wherever it waited.
 
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::Shutdown;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::SockRef;
 
 use crate::stand_in::*;
 use crate::{no_origin, pair, quiet};
@@ -140,41 +140,21 @@
     }
 }
 
-/// A cache server that takes no connections until told: its queue of newcomers is full.
-fn crowded() -> (Socket, SocketAddr, Vec<TcpStream>) {
-    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    listener.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-    listener.listen(0).unwrap();
-    let address = listener.local_addr().unwrap().as_socket().unwrap();
-    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(300)).ok();
-    let fill: Vec<_> = std::iter::from_fn(connect).take(8).collect();
-    assert!(!fill.is_empty() && fill.len() < 8, "the queue is full");
-    (listener, address, fill)
-}
-
 #[test]
 fn a_client_that_leaves_while_a_connection_comes_up_has_nothing_written_to_it() {
-    let (listener, address, fill) = crowded();
+    let crowded = Crowded::new();
     let origin = origin(|_| Act::Say(http(200, "", "made")));
     let (discovery, _say, _calls) = quiet();
-    // The network sends a lost greeting again after a second.
-    let settings = settings().replace(r#""connectTimeoutUs":2000000"#, r#""connectTimeoutUs":20000000"#);
-    let known = pair(address, origin.address);
-    let node = Node::start_in(discovery, &known, (256, 16), "", &settings);
+    let known = pair(crowded.address, origin.address);
+    let node = Node::start_in(discovery, &known, (256, 16), "", &patient());
     let mut client = node.client();
     client.send(&get("aa", "gone"));
     // Behind it on the same connection, so that the node has taken it once this is at the origin.
     client.send(&put("bb", "here", "v"));
     assert_eq!(origin.next().words[0], "PUT /bb HTTP/1.1");
     leave(&node, client, "gone", Leave::HalfClosed);
-    let (mut streams, count) = (Vec::new(), fill.len());
-    while streams.len() <= count {
-        streams.push(TcpStream::from(listener.accept().unwrap().0));
-    }
-    // The one that the node opened for the request is up. What it writes now is of the next request.
-    listener.listen(64).unwrap();
-    let cache = serve_on(listener.into(), streams, |words| Act::Say(hit(&words[2])));
+    // The connection that the node opened for it comes up. What it writes now is of the next request.
+    let cache = crowded.open(|words| Act::Say(hit(&words[2])));
     assert_eq!(node.client().ask(&get("aa", "mark")).unwrap(), "mark");
     assert_eq!(cache.next().words[2], "mark", "nothing was written before");
-    drop(fill);
 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -374,6 +374,27 @@
     }
 }
 
+#[test]
+fn a_server_told_to_drain_while_a_connection_to_it_comes_up_gets_nothing_written_to_it() {
+    let crowded = Crowded::new();
+    let (second, origin) = (cache(|_| Act::Say(hit("second"))), no_origin());
+    let (discovery, say, _calls) = quiet();
+    let known = pair(crowded.address, origin.address);
+    let node = Node::start_in(discovery, &known, (256, 16), "", &patient());
+    let mut client = node.client();
+    client.send(&get("aa", "1"));
+    let drains = entry("s-1", crowded.address, "std", "leaving");
+    let joins = entry("s-2", second.address, "std", "active");
+    say.send(chunk(&listing(6, false, &[drains, joins]))).unwrap();
+    // Once the other serves, the list is in force. The first request has not been answered.
+    let mut other = node.client();
+    let short = command(&["OBJ.GET", "bb", "2", "c=read,t=acme,d=100"]);
+    assert!((0..1_000).any(|_| other.ask(&short).unwrap() == "second"));
+    let first = crowded.open(|_| Act::Say(hit("first")));
+    assert_eq!(client.answer().unwrap(), "second", "the connection is up, and its server drains");
+    assert!(first.seen.try_iter().all(|seen| seen.words.is_empty()), "nothing was written to it");
+}
+
 #[test]
 fn where_lists_are_pushed_the_watch_is_opened_again_and_a_node_is_ready_with_its_first_list() {
     let cache = cache(|words| Act::Say(hit(&words[1])));
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -7,6 +7,8 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
+use socket2::{Domain, Socket, Type};
+
 /// Longer than anything here takes, on the busiest machine.
 pub const LONG: Duration = Duration::from_secs(20);
 
@@ -62,13 +64,38 @@
     serve_from(TcpListener::bind("127.0.0.1:0").unwrap(), Vec::new(), read, act)
 }
 
-/// A cache server on a listener that has taken connections already.
-pub fn serve_on(
-    listener: TcpListener,
-    taken: Vec<TcpStream>,
-    act: impl FnMut(&[String]) -> Act + Send + Clone + 'static,
-) -> StandIn {
-    serve_from(listener, taken, read_command, act)
+/// A cache server whose queue of newcomers is full: connections to it come up once it is opened, and not before.
+pub struct Crowded {
+    pub address: SocketAddr,
+    listener: Socket,
+    fill: Vec<TcpStream>,
+}
+
+impl Crowded {
+    pub fn new() -> Crowded {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        listener.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        listener.listen(0).unwrap();
+        let address = listener.local_addr().unwrap().as_socket().unwrap();
+        let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(300)).ok();
+        let fill: Vec<_> = std::iter::from_fn(connect).take(8).collect();
+        assert!(!fill.is_empty() && fill.len() < 8, "the queue is full");
+        Crowded { address, listener, fill }
+    }
+
+    /// Takes those that fill the queue and waits for the next, whose greeting the network sends again after a
+    /// second; from then on it is like any other.
+    pub fn open(self, act: impl FnMut(&[String]) -> Act + Send + Clone + 'static) -> StandIn {
+        let accept = || TcpStream::from(self.listener.accept().unwrap().0);
+        let taken: Vec<_> = (0..=self.fill.len()).map(|_| accept()).collect();
+        self.listener.listen(64).unwrap();
+        serve_from(self.listener.into(), taken, read_command, act)
+    }
+}
+
+/// Settings under which a node waits for a connection for as long as such a server lets it.
+pub fn patient() -> String {
+    settings().replace(r#""connectTimeoutUs":2000000"#, r#""connectTimeoutUs":20000000"#)
 }
 
 fn serve_from(
