Put no call to discovery off for longer than changes may go untold

Seen by reading, and shown by a test: a node whose watch broke is held to each change as long after it was made as discovery may go unasked, 10 s on this site. From 134 nodes on the module's pause after a failure, half to one and a half times the spread of all calls, grew beyond that: at 300 nodes 5 to 15 s, so that every second node called later than a drain right after the break counts as told. The test of it knew 100 nodes only, where it is 9.9 s.

Without the mend 300 nodes call up to 14.994 s later ("the call itself takes time as well:"); with it up to 9 s, and no more than 60 in a second.

Ruled out: a discovery that is down (a failed call has four times as long); silences (an event of their own by now).

At fault: `base.min(all) * (0.5 + unit)` in `discovery_failed` in brain/calls.rs. The pause now lies between a tenth and nine tenths of that time where it was longer; with few nodes it is as it was but for the third and later failures, which wait 1 to 7.5 s and not 2.5 to 7.5.

--- a/src/brain/calls.rs
+++ b/src/brain/calls.rs
@@ -5,6 +5,9 @@
 
 /// Part of the time within which discovery is to be asked that each further balancer's call takes.
 const CALL_SPREAD: f64 = 1.0 / 150.0;
+/// A call after one that failed is put off by these parts of that time at the most: the least and the longest
+/// wait. What is left of it the call itself may take, at a discovery that serves all in turn.
+const RECALL: (f64, f64) = (0.1, 0.9);
 /// Calls to a discovery that moved are spread over this time at the most: what it has to tell counts as told
 /// 4 s after the move, so that there must be time left for the call itself.
 const MOVED_SPREAD: f64 = 2_500_000.0;
@@ -41,13 +44,15 @@
         out.push(Action::Log("discovery is silent: asking again".into()));
     }
 
-    /// Discovery has little capacity: it is asked again later each time, and not by all at once.
+    /// Discovery has little capacity: it is asked again later each time, and not by all at once. But while no
+    /// watch is open each change counts as told so long after it was made as discovery may go unasked.
     pub(super) fn discovery_failed(&mut self, out: &mut Vec<Action>) {
         let all = self.settings.ask_within as f64;
         let base = (all / 16.0).max(self.calls_spread()) * f64::from(1 << self.subscribe_tries.min(3));
         self.subscribe_tries += 1;
-        let delay = (base.min(all) * (0.5 + self.rng.unit())) as Micros;
-        self.wake(delay, Wake::Subscribe);
+        let (least, most) = ((base * 0.5).min(all * RECALL.0), (base * 1.5).min(all * RECALL.1));
+        let delay = least + (most - least) * self.rng.unit();
+        self.wake(delay as Micros, Wake::Subscribe);
         out.push(Action::Log("discovery call failed or subscription lost: asking again".into()));
     }
 }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1253,6 +1253,12 @@
         assert!(most <= 30, "{most} of 100 within a second, after {fails:?}");
         assert!(last <= 10 * SECOND + MS, "the last after {last}: later it counts as told what it was not");
     }
+    // A node with no watch is held to each change as long after it was made as discovery may go unasked.
+    let mut calls = next_calls(300, servers(), Some(ListKind::Failed));
+    calls.sort_unstable();
+    let most = calls.iter().map(|from| calls.iter().filter(|at| (*from..from + SECOND).contains(at)).count());
+    assert!(most.max().unwrap() <= 60, "of 300 within a second, which were 30 on the mean");
+    assert!(calls[299] <= 9 * SECOND + MS, "the call itself takes time as well: {}", calls[299]);
     let few = next_calls(2, servers(), None);
     assert!(few.iter().all(|at| *at < 150 * MS), "two have no need to wait: {few:?}");
     let blind = next_calls(100, Vec::new(), None);
