Tell the origin of the time that is left now, not of that which the client stated

Cause: the list of facts went to the origin as it had arrived, with the client's own d, while cache servers are told of what is left. A fetch follows a miss and may have waited in the gate.

--- a/src/bin/spardeal-node/caches.rs
+++ b/src/bin/spardeal-node/caches.rs
@@ -7,13 +7,18 @@
 use crate::resp::{self, Value};
 use crate::upstreams::{Broken, Reply};
 
-/// The command of a client as it goes on to a cache server: all unchanged but `d`, the time left now.
-pub fn encode(command: &Command, left_ms: u64) -> Bytes {
+/// What a client said of its request as it goes on to a server: all unchanged but `d`, the time left now.
+pub fn facts(command: &Command, left_ms: u64) -> String {
     let facts = command.facts.split(',').map(|fact| match fact.split_once('=') {
         Some(("d", _)) => format!("d={left_ms}"),
         _ => fact.into(),
     });
-    let facts = facts.collect::<Vec<_>>().join(",");
+    facts.collect::<Vec<_>>().join(",")
+}
+
+/// The command of a client as it goes on to a cache server.
+pub fn encode(command: &Command, left_ms: u64) -> Bytes {
+    let facts = facts(command, left_ms);
     let name: &[u8] = if command.write { b"OBJ.SET" } else { b"OBJ.GET" };
     match &command.value {
         Some(value) => resp::command(&[name, &command.key, &command.id, facts.as_bytes(), value]),
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -438,9 +438,10 @@
             self.pool.release(conn, address, now);
             return self.end(key, Status::NotSent);
         };
+        let left_ms = (open.ends - now).div_ceil(1_000);
         let bytes = match server.speech {
-            Speech::Resp => caches::encode(&open.command, (open.ends - now).div_ceil(1_000)),
-            Speech::Http => origin::encode(&open.command, &server.address.to_string()),
+            Speech::Resp => caches::encode(&open.command, left_ms),
+            Speech::Http => origin::encode(&open.command, left_ms, &server.address.to_string()),
         };
         if !self.pool.start(conn, bytes) {
             self.lost(key, conn, false);
--- a/src/bin/spardeal-node/origin.rs
+++ b/src/bin/spardeal-node/origin.rs
@@ -11,14 +11,15 @@
 /// Interim answers (1xx) ahead of the final one, at most.
 const MAX_INTERIM: usize = 8;
 
-/// The request for a client's command.
-pub fn encode(command: &Command, host: &str) -> Bytes {
+/// The request for a client's command. Like a cache server the origin is told of the time that is left now: a fetch
+/// follows a miss, or has waited in the gate.
+pub fn encode(command: &Command, left_ms: u64, host: &str) -> Bytes {
     let mut out = BytesMut::with_capacity(512);
     out.put_slice(if command.write { b"PUT /" } else { b"GET /" });
     out.put_slice(&command.key);
     out.put_slice(format!(" HTTP/1.1\r\nHost: {host}\r\nX-Correlation-Id: ").as_bytes());
     out.put_slice(&command.id);
-    out.put_slice(format!("\r\nX-Facts: {}\r\n", command.facts).as_bytes());
+    out.put_slice(format!("\r\nX-Facts: {}\r\n", caches::facts(command, left_ms)).as_bytes());
     let body: &[u8] = command.value.as_deref().unwrap_or(b"");
     if command.write {
         out.put_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
