Look whether the client is still there in the moment in which its attempt is written

A client that closed was heard of through the runtime's next look at the sockets, its connection's task and the loop's queue, while its requests went on to connections that were up. Now the connection looks at the client's own socket before it writes, and nothing is written for one that has gone; where input of it is unread it waits for that to be read, for 50 ms at the most. Nor is a connection opened for such a client, or a request written on that its server took a part of.

No more is asked of the machine than before: a peek, and what the runtime has heard.

--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -15,7 +15,7 @@
 use crate::memory::{Memory, Share};
 use crate::node::{Clock, Input};
 use crate::resp;
-use crate::socket::{PIECE, Socket};
+use crate::socket::{PIECE, Presence, Socket};
 
 /// Names a client's connection; never used twice.
 pub type ClientId = u64;
@@ -129,6 +129,8 @@
     pub command: Command,
     pub at: Micros,
     pub client: ClientId,
+    /// Whether the client is still there.
+    pub presence: Presence,
     pub slot: u64,
     pub answers: mpsc::Sender<Answer>,
     /// What the request holds of the memory, its value and that value on its way included.
@@ -218,11 +220,14 @@
         front,
     };
     let ended = session.run().await;
-    if session.slots.iter().any(|slot| slot.answer.is_none()) {
-        let _ = session.front.hub.send(Input::ClientGone(client)).await;
+    let Session { mut socket, slots, broken, front, .. } = session;
+    if ended == Ended::Closed && broken {
+        socket.linger(LINGER).await;
     }
-    if ended == Ended::Closed && session.broken {
-        session.socket.linger(LINGER).await;
+    // From here on nothing is sent on for it, also while the news of its end waits behind others.
+    drop(socket);
+    if slots.iter().any(|slot| slot.answer.is_none()) {
+        let _ = front.hub.send(Input::ClientGone(client)).await;
     }
 }
 
@@ -448,8 +453,8 @@
                 };
                 let slot = self.first + self.slots.len() as u64;
                 self.slots.push_back(Slot { answer: None, open: Some((permit, id)) });
-                let (client, answers) = (self.client, self.answers.clone());
-                let asked = Box::new(Asked { command, at, client, slot, answers, share });
+                let (client, presence, answers) = (self.client, self.socket.presence(), self.answers.clone());
+                let asked = Box::new(Asked { command, at, client, presence, slot, answers, share });
                 let _ = self.front.hub.send(Input::Asked(asked)).await;
             }
         }
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -20,6 +20,7 @@
 use crate::config::Config;
 use crate::discovery::{Discovery, Era, Failure, Listing};
 use crate::memory::{Memory, Share};
+use crate::socket::Presence;
 use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech};
 use crate::{caches, log, origin, resp};
 
@@ -102,6 +103,7 @@
 struct Open {
     command: Command,
     client: ClientId,
+    presence: Presence,
     slot: u64,
     answers: mpsc::Sender<Answer>,
     /// Held while there is something to send.
@@ -226,13 +228,8 @@
         match input {
             Input::Asked(asked) => self.asked(*asked),
             Input::ClientGone(client) => {
-                let mine =
-                    |(id, open): (&RequestId, &Open)| (open.client == client && !open.over).then_some(*id);
-                let gone: Vec<_> = self.open.iter().filter_map(mine).collect();
-                for id in gone {
-                    self.close_request(id);
-                    self.tell(Event::ClientGone(id));
-                }
+                self.client_gone(client);
+                self.run_events();
             }
             Input::Conn(conn, news) => self.conn(conn, news),
             // Against what the discovery before the present one still had under way: its versions and its view
@@ -348,7 +345,7 @@
     // Requests.
 
     fn asked(&mut self, asked: Asked) {
-        let Asked { command, at, client, slot, answers, share } = asked;
+        let Asked { command, at, client, presence, slot, answers, share } = asked;
         let id = self.next;
         self.next += 1;
         // What the request waited within the node is part of its time.
@@ -365,7 +362,8 @@
             size: command.size,
         };
         let share = Some(share);
-        let open = Open { command, client, slot, answers, share, ends, sent: 0, out: 0, over: false };
+        let (sent, out, over) = (0, 0, false);
+        let open = Open { command, client, presence, slot, answers, share, ends, sent, out, over };
         self.open.insert(id, open);
         self.timers.push(Reverse((ends, Due::Deadline(id))));
         self.tell(Event::Request(request));
@@ -384,6 +382,16 @@
         self.close_request(id);
     }
 
+    /// Nothing is owed to a client any more.
+    fn client_gone(&mut self, client: ClientId) {
+        let mine = |(id, open): (&RequestId, &Open)| (open.client == client && !open.over).then_some(*id);
+        let gone: Vec<_> = self.open.iter().filter_map(mine).collect();
+        for id in gone {
+            self.close_request(id);
+            self.events.push_back(Event::ClientGone(id));
+        }
+    }
+
     /// Nothing is owed for a request any more. Attempts that are out keep its entry until they end.
     fn close_request(&mut self, id: RequestId) {
         let Some(open) = self.open.get_mut(&id) else { return };
@@ -411,6 +419,12 @@
         };
         let conn = match self.pool.reuse(server, key, now) {
             Some(conn) => Some((conn, true)),
+            // A connection costs its server work: none is opened for a client that has gone.
+            None if open.presence.gone() => {
+                let client = open.client;
+                self.attempts.insert(key, Attempt { server, sent: now, conn: 0 });
+                return self.unsent(key, client);
+            }
             None => self.pool.open(server, address, speech, key).map(|conn| (conn, false)),
         };
         let Some((conn, up)) = conn else {
@@ -442,7 +456,7 @@
             Speech::Resp => caches::encode(&open.command, (open.ends - now).div_ceil(1_000)),
             Speech::Http => origin::encode(&open.command, &server.address.to_string()),
         };
-        if !self.pool.start(conn, bytes) {
+        if !self.pool.start(conn, bytes, open.presence.clone()) {
             self.lost(key, conn, false);
         }
     }
@@ -452,6 +466,13 @@
         let key = self.pool.attempt(conn);
         match (news, key) {
             (News::Up, Some(key)) => self.write(key, conn),
+            (News::Unsent, Some(key)) => {
+                let server = self.attempts.get(&key).and_then(|attempt| self.servers.get(&attempt.server));
+                self.pool.release(conn, server.map(|s| s.address), self.clock.now());
+                if let Some(client) = self.open.get(&key.0).map(|open| open.client) {
+                    self.unsent(key, client);
+                }
+            }
             (News::Answer(reply), Some(key)) => {
                 let now = self.clock.now();
                 let attempt = self.attempts.get(&key);
@@ -482,6 +503,13 @@
         self.run_events();
     }
 
+    /// An attempt was not sent since its client has gone.
+    fn unsent(&mut self, key: AttemptKey, client: ClientId) {
+        self.close_request(key.0);
+        self.end(key, Status::NotSent);
+        self.client_gone(client);
+    }
+
     /// A connection is lost that an attempt was on or waited for.
     fn lost(&mut self, key: AttemptKey, conn: ConnId, written: bool) {
         let stale = !written && self.pool.carried(conn) > 1;
--- a/src/bin/spardeal-node/socket.rs
+++ b/src/bin/spardeal-node/socket.rs
@@ -3,20 +3,31 @@
 //! tokio tells of input until it has been read, so that nobody can wait for the end of a connection whose input
 //! is left with the machine. Here each piece of news is taken once, and what is still to be read is kept in mind.
 
+use std::future::Future;
 use std::io::{self, ErrorKind, Read};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::pin;
+use std::sync::{Arc, Weak};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::BytesMut;
 use socket2::SockRef;
-use tokio::io::{AsyncWriteExt, Interest};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Input is read in pieces of this size; a command that is longer has to wait for memory.
 pub const PIECE: usize = 4096;
 
+/// An attempt waits for so long at the most for the rest of its client's input to be read: the client's end may
+/// lie behind it, and the machine tells of that end only once it has room for all that is ahead of it.
+const READ_ON: Duration = Duration::from_millis(50);
+
 /// A client's socket.
 pub struct Socket {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     /// There may be input that was not read.
     unread: bool,
     /// The client sends no more, behind what may still be unread, or has reset the connection.
@@ -26,7 +37,12 @@
 impl Socket {
     /// The socket of a connection of which nothing has been read.
     pub fn new(stream: TcpStream) -> Self {
-        Socket { stream, unread: true, ended: false }
+        Socket { stream: Arc::new(stream), unread: true, ended: false }
+    }
+
+    /// Lets others look whether the client is still there.
+    pub fn presence(&self) -> Presence {
+        Presence(Arc::downgrade(&self.stream))
     }
 
     /// Whether there may be input to read.
@@ -61,7 +77,7 @@
     pub fn try_read(&mut self, into: &mut BytesMut) -> io::Result<usize> {
         let mut piece = [0; PIECE];
         // Not through tokio, which takes it that what was told once has been read.
-        let read = (&*SockRef::from(&self.stream)).read(&mut piece);
+        let read = (&*SockRef::from(&*self.stream)).read(&mut piece);
         // Less than was asked for is all there was, but for the end behind it.
         self.unread = read.as_ref().is_ok_and(|count| self.ended || *count == PIECE);
         into.extend_from_slice(&piece[..*read.as_ref().unwrap_or(&0)]);
@@ -76,7 +92,7 @@
     /// Reads on for a moment, and so much, after the last answer: a close with input unread would reset the
     /// connection and could take the answer away from the client.
     pub async fn linger(&mut self, (time, bytes): (Duration, usize)) {
-        let _ = self.stream.shutdown().await;
+        let _ = SockRef::from(&*self.stream).shutdown(Shutdown::Write);
         let rest = async {
             let (mut left, mut sink) = (bytes, BytesMut::new());
             while left > 0 {
@@ -97,3 +113,59 @@
         let _ = tokio::time::timeout(time, rest).await;
     }
 }
+
+/// Whether a client is still there, for those who are about to do something for it: its connection's task may
+/// be told later than the machine.
+#[derive(Clone, Debug)]
+pub struct Presence(Weak<TcpStream>);
+
+/// What a look at a client's connection shows.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Seen {
+    Here,
+    /// It is open as far as can be seen; its end may lie behind input that was not read.
+    Unread,
+    Gone,
+}
+
+impl Presence {
+    fn look(&self) -> Seen {
+        // A connection that has ended with a request open has lost its client.
+        let Some(stream) = self.0.upgrade() else { return Seen::Gone };
+        // An end behind unread input is in what the runtime has last heard of the machine ...
+        let ready = pin!(stream.ready(Interest::READABLE));
+        let told = ready.poll(&mut Context::from_waker(Waker::noop()));
+        if matches!(told, Poll::Ready(Ok(ready)) if ready.is_read_closed()) {
+            return Seen::Gone;
+        }
+        // ... and one behind nothing in what it says now.
+        match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => Seen::Gone,
+            Ok(_) => Seen::Unread,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => Seen::Here,
+            Err(_) => Seen::Gone,
+        }
+    }
+
+    /// Whether the client is known to have gone.
+    pub fn gone(&self) -> bool {
+        self.look() == Seen::Gone
+    }
+
+    /// Whether the client has gone, once its input has been read, or after a moment.
+    pub async fn gone_behind_its_input(&self) -> bool {
+        let by = Instant::now() + READ_ON;
+        // At first only until all that is ready has run, and the machine has been asked.
+        let mut pause = Duration::ZERO;
+        loop {
+            match self.look() {
+                Seen::Gone => return true,
+                Seen::Here => return false,
+                Seen::Unread if Instant::now() >= by => return false,
+                Seen::Unread if pause.is_zero() => tokio::task::yield_now().await,
+                Seen::Unread => tokio::time::sleep(pause).await,
+            }
+            pause = Duration::from_millis(1);
+        }
+    }
+}
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -20,6 +20,7 @@
 use crate::memory::Memory;
 use crate::node::Input;
 use crate::resp::MAX_VALUE;
+use crate::socket::Presence;
 use crate::{caches, http, origin, resp};
 
 /// An answer that has begun and brings nothing more for this part of the longest aim will not be whole.
@@ -61,6 +62,8 @@
     Answer(Reply),
     /// Its server answered with what can't be understood: the request may have run, the server is well.
     Spoilt,
+    /// Nothing was written to it for a client that has gone; it can carry another request.
+    Unsent,
     /// It could not be opened or is lost; whether the last byte of its request may have been written.
     Lost { written: bool },
 }
@@ -72,10 +75,16 @@
     Http,
 }
 
+/// A request to carry.
+struct Job {
+    request: Bytes,
+    client: Presence,
+}
+
 struct Conn {
     server: ServerId,
     address: SocketAddr,
-    jobs: mpsc::Sender<Bytes>,
+    jobs: mpsc::Sender<Job>,
     task: AbortHandle,
     /// The attempt that it was opened for or carries.
     attempt: Option<AttemptKey>,
@@ -187,11 +196,11 @@
         self.conns.get(&id).map_or(0, |conn| conn.carried)
     }
 
-    /// Hands a request to a connection that is up; `false` if it is lost already.
-    pub fn start(&mut self, id: ConnId, request: Bytes) -> bool {
+    /// Hands a client's request to a connection that is up; `false` if it is lost already.
+    pub fn start(&mut self, id: ConnId, request: Bytes, client: Presence) -> bool {
         let Some(conn) = self.conns.get_mut(&id) else { return false };
         conn.carried += 1;
-        conn.jobs.try_send(request).is_ok()
+        conn.jobs.try_send(Job { request, client }).is_ok()
     }
 
     /// A connection owes nothing any more and may be used again.
@@ -256,7 +265,7 @@
     speech: Speech,
     deployment: Arc<Deployment>,
     memory: Memory,
-    jobs: mpsc::Receiver<Bytes>,
+    jobs: mpsc::Receiver<Job>,
     hub: mpsc::Sender<Input>,
 }
 
@@ -287,16 +296,29 @@
                 _ = stream.read_buf(&mut buffer) => return News::Lost { written: false },
                 job = self.jobs.recv() => job,
             };
-            let Some(job) = job else { return News::Lost { written: false } };
+            let Some(Job { request, client }) = job else { return News::Lost { written: false } };
+            // Against work for nobody: since the request was chosen its client may have gone.
+            if client.gone_behind_its_input().await {
+                news = News::Unsent;
+                continue;
+            }
             // Against a request written behind an end, or behind an answer that nobody waits for, that came in
             // the very moment: the runtime tells of what is there a little later than it is there.
             if !silent(&stream) {
                 return News::Lost { written: false };
             }
-            if stream.write_all(&job).await.is_err() {
-                return News::Lost { written: false };
+            let mut rest = &request[..];
+            while !rest.is_empty() {
+                // Nor does a request become whole that its server took a part of before its client went.
+                if rest.len() < request.len() && client.gone() {
+                    return News::Lost { written: false };
+                }
+                match stream.write(rest).await {
+                    Ok(count) if count > 0 => rest = &rest[count..],
+                    _ => return News::Lost { written: false },
+                }
             }
-            drop(job);
+            drop(request);
             let mut share = None;
             let reply = loop {
                 // The rest of an answer comes with its beginning. Against lines and values that never end: one
@@ -343,57 +365,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use std::io::{Read, Write};
-
-    use super::*;
-
-    /// What becomes of a request that is handed to a connection in the very moment in which its server does
-    /// something, and what the server had of it: the runtime does not look at the sockets between the two.
-    fn crossed(does: fn(&mut std::net::TcpStream)) -> (News, Vec<u8>) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(async {
-            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-            let address = listener.local_addr().unwrap();
-            let (hub, mut inputs) = mpsc::channel(8);
-            let (say, jobs) = mpsc::channel(1);
-            let deployment = Arc::new(spardeal::settings::read(b"{}").unwrap());
-            let memory = Memory::new(64);
-            let mut link = Link { id: 1, speech: Speech::Resp, deployment, memory, jobs, hub };
-            let mut task = tokio::spawn(async move { link.run(address).await });
-            assert!(matches!(inputs.recv().await, Some(Input::Conn(1, News::Up))));
-            let mut server = listener.accept().unwrap().0;
-            // Until the task has nothing to do but wait.
-            for _ in 0..10 {
-                tokio::task::yield_now().await;
-            }
-            does(&mut server);
-            say.try_send(Bytes::from_static(b"request")).unwrap();
-            let news = tokio::select! {
-                ended = &mut task => ended.unwrap(),
-                Some(Input::Conn(1, news)) = inputs.recv() => news,
-            };
-            task.abort();
-            while !task.is_finished() {
-                tokio::task::yield_now().await;
-            }
-            let mut had = Vec::new();
-            let _ = server.read_to_end(&mut had);
-            (news, had)
-        })
-    }
-
-    #[test]
-    fn a_request_handed_over_as_its_server_ends_the_connection_was_surely_never_sent() {
-        let (news, had) = crossed(|server| server.shutdown(std::net::Shutdown::Write).unwrap());
-        assert!(matches!(news, News::Lost { written: false }), "{news:?}");
-        assert_eq!(had, b"");
-    }
-
-    #[test]
-    fn an_answer_that_comes_as_a_request_is_handed_over_is_not_taken_for_its_answer() {
-        let (news, had) = crossed(|server| server.write_all(b"*3\r\n$5\r\nstale\r\n$-1\r\n$-1\r\n").unwrap());
-        assert!(matches!(news, News::Lost { written: false }), "{news:?}");
-        assert_eq!(had, b"");
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/bin/spardeal-node/upstreams/tests.rs
@@ -0,0 +1,82 @@
+//! A connection to a server in the very moment in which a request is handed to it.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream as Peer};
+
+use super::*;
+use crate::socket::Socket;
+
+/// What becomes of a request that is handed to a connection in the very moment in which its server or its client
+/// does something, and what the server had of it: the runtime does not look at the sockets between the two.
+fn crossed(does: fn(&mut Peer, &mut Peer)) -> (News, Vec<u8>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut client = Peer::connect(address).unwrap();
+        let accepted = listener.accept().unwrap().0;
+        accepted.set_nonblocking(true).unwrap();
+        let socket = Socket::new(TcpStream::from_std(accepted).unwrap());
+        let (hub, mut inputs) = mpsc::channel(8);
+        let (say, jobs) = mpsc::channel(1);
+        let deployment = Arc::new(spardeal::settings::read(b"{}").unwrap());
+        let memory = Memory::new(64);
+        let mut link = Link { id: 1, speech: Speech::Resp, deployment, memory, jobs, hub };
+        let mut task = tokio::spawn(async move { link.run(address).await });
+        assert!(matches!(inputs.recv().await, Some(Input::Conn(1, News::Up))));
+        let mut server = listener.accept().unwrap().0;
+        // Until the task has nothing to do but wait.
+        for _ in 0..10 {
+            tokio::task::yield_now().await;
+        }
+        does(&mut server, &mut client);
+        let job = Job { request: Bytes::from_static(b"request"), client: socket.presence() };
+        say.try_send(job).map_err(drop).unwrap();
+        let news = tokio::select! {
+            ended = &mut task => ended.unwrap(),
+            Some(Input::Conn(1, news)) = inputs.recv() => news,
+        };
+        task.abort();
+        while !task.is_finished() {
+            tokio::task::yield_now().await;
+        }
+        let mut had = Vec::new();
+        let _ = server.read_to_end(&mut had);
+        (news, had)
+    })
+}
+
+#[test]
+fn a_request_handed_over_as_its_server_ends_the_connection_was_surely_never_sent() {
+    let (news, had) = crossed(|server, _| server.shutdown(Shutdown::Write).unwrap());
+    assert!(matches!(news, News::Lost { written: false }), "{news:?}");
+    assert_eq!(had, b"");
+}
+
+#[test]
+fn an_answer_that_comes_as_a_request_is_handed_over_is_not_taken_for_its_answer() {
+    let (news, had) = crossed(|server, _| server.write_all(b"*3\r\n$5\r\nstale\r\n$-1\r\n$-1\r\n").unwrap());
+    assert!(matches!(news, News::Lost { written: false }), "{news:?}");
+    assert_eq!(had, b"");
+}
+
+#[test]
+fn nothing_is_written_for_a_client_that_leaves_as_its_request_is_handed_over_also_behind_unread_input() {
+    let leaves: [fn(&mut Peer, &mut Peer); 3] = [
+        |_, client| client.shutdown(Shutdown::Write).unwrap(),
+        |_, client| {
+            client.write_all(&[0; 9000]).unwrap();
+            client.shutdown(Shutdown::Write).unwrap();
+        },
+        |_, client| {
+            client.write_all(&[0; 9000]).unwrap();
+            SockRef::from(&*client).set_linger(Some(Duration::ZERO)).unwrap();
+            *client = Peer::connect(client.peer_addr().unwrap()).unwrap();
+        },
+    ];
+    for (at, leave) in leaves.into_iter().enumerate() {
+        let (news, had) = crossed(leave);
+        assert!(matches!(news, News::Unsent), "{at}: {news:?}");
+        assert_eq!(had, b"", "{at}");
+    }
+}
--- a/tests/node/leaving.rs
+++ b/tests/node/leaving.rs
@@ -158,3 +158,36 @@
     assert_eq!(node.client().ask(&get("aa", "mark")).unwrap(), "mark");
     assert_eq!(cache.next().words[2], "mark", "nothing was written before");
 }
+
+#[test]
+fn clients_that_have_left_before_the_node_comes_to_read_have_nothing_sent_on() {
+    for known_before in [true, false] {
+        let cache = cache(|words| Act::Say(hit(&words[1])));
+        let (discovery, _say, _calls) = quiet();
+        let node = Node::start(discovery, &pair(cache.address, no_origin().address));
+        let taken = || {
+            let mut client = node.client();
+            assert_eq!(client.ask(&command(&["PING"])).unwrap(), "+PONG");
+            client
+        };
+        let mut clients: Vec<_> = (0..20).filter(|_| known_before).map(|_| taken()).collect();
+        // Connections that can carry a request at once, as soon as they have rested.
+        let mut warm = node.client();
+        warm.send(&(0..16).flat_map(|id| get("warm", &format!("w{id}"))).collect::<Vec<_>>());
+        assert!((0..16).all(|_| warm.answer().unwrap() == "warm" && cache.next().words[1] == "warm"));
+        std::thread::sleep(Duration::from_millis(100));
+        // All of it comes in one turn of the loop.
+        node.pause();
+        clients.extend((clients.len()..20).map(|_| node.client()));
+        for (at, mut client) in clients.into_iter().enumerate() {
+            client.send(&(0..60).flat_map(|id| get("aa", &format!("{at}-{id}"))).collect::<Vec<_>>());
+        }
+        node.resume();
+        for at in 0..20 {
+            // The module may refuse while it still counts on the requests of those.
+            let served = || node.client().ask(&get("mark", &format!("m{at}"))).unwrap() == "mark";
+            assert!(std::iter::repeat_with(served).take(200_000).any(|served| served));
+            assert_eq!(cache.next().words[1], "mark", "known before: {known_before}");
+        }
+    }
+}
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -381,6 +381,15 @@
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
 
+    /// Stops it in its tracks, while the machine goes on taking what comes for it.
+    pub fn pause(&self) {
+        self.kill("STOP");
+    }
+
+    pub fn resume(&self) {
+        self.kill("CONT");
+    }
+
     pub fn terminate(&self) {
         self.kill("TERM");
     }
