Read on behind a full pipeline, so that a client's end is always reached

A client's end lies behind all that it has sent, and the machine tells of it only once it has room for what is ahead of it, 64 KiB. A connection was not read while its pipeline was full, an answer half written, its input broken or a long command waiting for memory. Now it is read on: 64 KiB are kept, in steps and within a quarter of the memory that all share; what comes behind is passed over, counted, and refused in its turn. Where others of the connection are open a long command waits 20 ms for memory, then it is refused too. Behind lost framing input is read and thrown away. What is not kept is read in pieces of 64 KiB with a pause of 1 ms, longer where the loop is late. A request's time runs from when its last byte was read, also where it waits behind others. A connection's first read comes after a look at the machine, and what a client that has left asked is not taken.

--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -1,10 +1,12 @@
 //! The server side: the listener, clients' connections, and the commands on them.
 
 use std::collections::{HashSet, VecDeque};
+use std::io;
+use std::mem::take;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use spardeal::settings::Deployment;
 use spardeal::{Effect, Key, Micros};
 use tokio::net::{TcpListener, TcpStream};
@@ -12,6 +14,7 @@
 use tokio::time::{Instant, sleep_until};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::backlog::{Backlog, Next};
 use crate::memory::{Memory, Share};
 use crate::node::{Clock, Input};
 use crate::resp;
@@ -20,8 +23,8 @@
 /// Names a client's connection; never used twice.
 pub type ClientId = u64;
 
-/// Requests of one connection that are answered at the same time; more wait unread. The first figure holds
-/// until it is known how long the answers are: together they may hold the third, as a part of the memory.
+/// Requests of one connection that are answered at the same time; more wait, or are refused. The first figure
+/// holds until it is known how long the answers are: together they may hold the third, as a part of the memory.
 const PIPELINE: (usize, usize, usize) = (16, 64, 16);
 /// A connection that has brought no whole command for so long after it was taken is closed. All three of
 /// these limits are points in time, which no dribbled byte moves.
@@ -36,6 +39,18 @@
 const IDLE: Duration = Duration::from_secs(15);
 /// After an error that ends a connection, its client's input is read on for so long, and so much of it.
 const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
+/// A long command waits for memory for so long, where others of its connection are open: behind it the client's
+/// end can't be seen.
+const LONG: Duration = Duration::from_millis(20);
+/// Between two pieces of input that is not kept. Against floods: what they cost others must be little.
+const PAUSE: Duration = Duration::from_millis(1);
+/// The pause grows by so many times what the loop is late by, where this is more than the first figure, which
+/// is how exact a timer is; up to the last. So many floods share what one may take.
+const BUSY: (Duration, u32, Duration) = (Duration::from_millis(2), 4, Duration::from_millis(20));
+/// Refused, and never sent on.
+const REFUSAL: &str = "-BUSY\r\n";
+/// Refusals that are written at once.
+const REFUSALS: u64 = 512;
 /// The longest key, id and list of facts.
 const MAX_WORD: usize = 512;
 /// The longest wait that a client may state, in milliseconds, unless its class allows for a longer one.
@@ -207,8 +222,9 @@
         client,
         answers,
         answered,
-        input: BytesMut::new(),
-        long: None,
+        input: Backlog::new(front.memory.clone()),
+        long_by: None,
+        next_piece: now,
         output: None,
         slots: VecDeque::new(),
         first: 0,
@@ -226,19 +242,27 @@
     }
     // From here on nothing is sent on for it, also while the news of its end waits behind others.
     drop(socket);
-    if slots.iter().any(|slot| slot.answer.is_none()) {
+    if slots.iter().any(Slot::open) {
         let _ = front.hub.send(Input::ClientGone(client)).await;
     }
 }
 
-/// The place of one answer.
-#[derive(Default)]
-struct Slot {
-    /// `None` while it is owed.
-    answer: Option<(Bytes, Option<Share>)>,
-    /// Counts it among the open requests, and its id, until the answer has come.
-    #[expect(dead_code, reason = "held for its drop")]
-    open: Option<(OwnedSemaphorePermit, Id)>,
+/// The place of one answer, or of some.
+enum Slot {
+    /// It is owed. Counts the request among those that are open, and its id.
+    Open {
+        #[expect(dead_code, reason = "held for its drop")]
+        counted: (OwnedSemaphorePermit, Id),
+    },
+    Answer(Bytes, Option<Share>),
+    /// So many commands that were passed over.
+    Refusals(u64),
+}
+
+impl Slot {
+    fn open(&self) -> bool {
+        matches!(self, Slot::Open { .. })
+    }
 }
 
 /// An answer that is being written.
@@ -253,15 +277,17 @@
     client: ClientId,
     answers: mpsc::Sender<Answer>,
     answered: mpsc::Receiver<Answer>,
-    input: BytesMut,
-    /// Memory for a long command.
-    long: Option<Share>,
+    input: Backlog,
+    /// Until when a long command waits for memory.
+    long_by: Option<Instant>,
+    /// When the next piece of what is not kept is read.
+    next_piece: Instant,
     output: Option<Output>,
     /// Answers in the order of their commands.
     slots: VecDeque<Slot>,
     /// Number of the first slot.
     first: u64,
-    /// No more is read: the framing of the input is lost, or a time limit has passed.
+    /// No more is taken: the framing of the input is lost, or a time limit has passed.
     broken: bool,
     /// It came when there were only places for refusals left.
     late: bool,
@@ -278,13 +304,13 @@
     async fn run(&mut self) -> Ended {
         let mut phase = self.front.phase.clone();
         let memory = self.front.memory.clone();
+        // Until the machine has been asked: a client may have left while it waited to be accepted.
+        tokio::task::yield_now().await;
         loop {
             self.take_commands().await;
             if self.output.is_none()
-                && let Some((bytes, _share)) = self.slots.front_mut().and_then(|slot| slot.answer.take())
+                && let Some((bytes, _share)) = self.next_answer()
             {
-                self.slots.pop_front();
-                self.first += 1;
                 self.output = Some(Output { bytes, by: Instant::now() + WRITTEN, _share });
             }
             if let Some(output) = &mut self.output {
@@ -298,7 +324,7 @@
                         let _ = output.bytes.split_to(count);
                         continue;
                     }
-                    Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                     Err(_) => return Ended::Gone,
                 }
             }
@@ -309,18 +335,26 @@
             let draining = *phase.borrow() == Phase::Draining;
             let room = !self.broken && self.slots.len() < self.pipeline() && self.output.is_none();
             if !room && self.whole_by.is_some() {
-                // While nothing is read the rest of a command can't come.
+                // While others wait ahead of it the rest of a command is not waited for.
                 self.whole_by = Some(Instant::now() + WHOLE);
             }
             // Against commands that together are longer than the memory: the long ones wait their turn, with
             // the client's own buffers, and those that wait too long are turned away.
-            let long = self.input.len() >= PIECE && self.long.is_none();
+            let long = room && !self.input.skipping() && self.input.full();
             let unread = self.socket.unread();
-            if self.socket.ended() && !(room && !long && unread) {
+            let open = self.slots.iter().any(Slot::open);
+            if self.socket.ended() && (open || !(room && !long && unread)) {
                 // Against requests that are sent on for a client that has left: it may leave while nothing is
-                // read, and for as long as its requests wait nothing may be.
+                // taken, and for as long as its requests wait nothing may be.
                 return Ended::Gone;
             }
+            // A client's end lies behind all that it has sent: what can't be kept is passed over.
+            if unread && !room && !self.broken && !self.input.skipping() && !self.input.grow() {
+                self.input.skip();
+            }
+            let skips = self.broken || self.input.skipping();
+            self.long_by = (long && open).then(|| self.long_by.unwrap_or_else(|| Instant::now() + LONG));
+            let (long_by, next_piece) = (self.long_by, self.next_piece.max(Instant::now()));
             let between = !owes && self.input.is_empty() && !unread;
             let spare_at = self.idle_since + SPARE;
             let spare = between && self.first > 0 && Instant::now() >= spare_at;
@@ -333,22 +367,24 @@
                     if let Some(Answer { slot, bytes, share }) = answer
                         && let Some(place) = self.slots.get_mut(slot.saturating_sub(self.first) as usize)
                     {
-                        *place = Slot { answer: Some((bytes, share)), open: None };
+                        *place = Slot::Answer(bytes, share);
+                    }
+                }
+                () = tokio::task::yield_now(), if unread && !skips && !long => {
+                    let now = self.front.clock.now();
+                    if left(self.socket.read(|piece| self.input.add(piece, now))) {
+                        return Ended::Gone;
                     }
                 }
-                () = tokio::task::yield_now(), if room && !long && unread => {
-                    let empty = self.input.is_empty();
-                    match self.socket.try_read(&mut self.input) {
-                        Ok(0) => return Ended::Gone,
-                        Ok(_) if empty && self.whole_by.is_none() => {
-                            self.whole_by = Some(Instant::now() + WHOLE);
-                        }
-                        Ok(_) => {}
-                        Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-                        Err(_) => return Ended::Gone,
+                () = sleep_until(next_piece), if unread && skips => {
+                    let late = next_piece.elapsed().saturating_sub(BUSY.0);
+                    self.next_piece = Instant::now() + (PAUSE + BUSY.1 * late).min(BUSY.2);
+                    if left(self.socket.read_on(|piece| if !self.broken { self.input.add(piece, 0) })) {
+                        return Ended::Gone;
                     }
                 }
-                share = memory.wait(2 * resp::MAX_VALUE), if room && long => self.long = Some(share),
+                share = memory.wait(2 * resp::MAX_VALUE), if long => self.input.hold(share, 2 * resp::MAX_VALUE),
+                () = until(long_by), if long_by.is_some() => self.input.skip(),
                 news = self.socket.news(self.output.is_some()) => {
                     if news.is_err() {
                         return Ended::Gone;
@@ -384,32 +420,57 @@
         while !self.broken
             && self.slots.len() < self.pipeline()
             && self.output.is_none()
-            && !self.input.is_empty()
+            && let Some(next) = self.input.next()
         {
-            match resp::take_command(&mut self.input) {
-                Ok(Some(words)) => {
-                    self.whole_by = (!self.input.is_empty()).then(|| Instant::now() + WHOLE);
-                    self.command(words).await;
+            match next {
+                Next::Command(words, at) => {
+                    self.whole_by = None;
+                    self.command(words, at).await;
+                }
+                // Forced by memory: there was no room for them, and they were never sent.
+                Next::Skipped(more) => {
+                    self.whole_by = None;
+                    match self.slots.back_mut() {
+                        Some(Slot::Refusals(count)) => *count += more,
+                        _ => self.slots.push_back(Slot::Refusals(more)),
+                    }
                 }
-                Ok(None) => return,
-                Err(resp::Malformed(what)) => {
+                Next::Malformed(what) => {
                     self.answer_now(format!("-ERR protocol error: {what}\r\n"));
                     self.broken = true;
                 }
             }
         }
-        if self.input.is_empty() || self.broken {
-            // The room that a long command took is given back.
-            (self.input, self.long) = (BytesMut::new(), None);
+        if self.broken {
+            self.input = Backlog::new(self.front.memory.clone());
+        } else if self.input.begun() {
+            self.whole_by.get_or_insert_with(|| Instant::now() + WHOLE);
         }
     }
 
+    /// The answer whose turn it is.
+    fn next_answer(&mut self) -> Option<(Bytes, Option<Share>)> {
+        let answer = match self.slots.front_mut()? {
+            Slot::Open { .. } => return None,
+            Slot::Answer(bytes, share) => (take(bytes), share.take()),
+            Slot::Refusals(count) => {
+                let some = REFUSALS.min(*count);
+                *count -= some;
+                (REFUSAL.repeat(some as usize).into(), None)
+            }
+        };
+        if !matches!(self.slots.front(), Some(Slot::Refusals(1..))) {
+            self.slots.pop_front();
+            self.first += 1;
+        }
+        Some(answer)
+    }
+
     fn answer_now(&mut self, answer: impl Into<Bytes>) {
-        self.slots.push_back(Slot { answer: Some((answer.into(), None)), open: None });
+        self.slots.push_back(Slot::Answer(answer.into(), None));
     }
 
-    async fn command(&mut self, words: Vec<Bytes>) {
-        let at = self.front.clock.now();
+    async fn command(&mut self, words: Vec<Bytes>, at: Micros) {
         let name = words.first().map(|name| name.to_ascii_uppercase()).unwrap_or_default();
         let command = match name.as_slice() {
             b"PING" => {
@@ -431,14 +492,18 @@
                 // Forced by a full table of sockets: refused, as it was never sent, and its place is free again.
                 if self.late && self.front.crowded() {
                     self.broken = true;
-                    return self.answer_now("-BUSY\r\n");
+                    return self.answer_now(REFUSAL);
                 }
                 self.late = false;
+                // Against work for nobody: there is no one to answer.
+                if self.socket.ended() {
+                    return self.answer_now(REFUSAL);
+                }
                 // Forced by the end of the process: on a connection that always has a request open there is no
                 // moment to close it in, and what is taken now could be unanswered when the platform kills the
                 // node. Refused, as it was never sent; another node takes it.
                 if *self.front.phase.borrow() == Phase::Draining {
-                    return self.answer_now("-BUSY\r\n");
+                    return self.answer_now(REFUSAL);
                 }
                 let Some(id) = Id::claim(&command.id, &self.front.ids) else {
                     return self.answer_now("-ERR a request with this id is open\r\n");
@@ -449,10 +514,10 @@
                     // The value, and the same on its way to the origin.
                     self.front.memory.try_take(PIECE + 2 * value),
                 ) else {
-                    return self.answer_now("-BUSY\r\n");
+                    return self.answer_now(REFUSAL);
                 };
                 let slot = self.first + self.slots.len() as u64;
-                self.slots.push_back(Slot { answer: None, open: Some((permit, id)) });
+                self.slots.push_back(Slot::Open { counted: (permit, id) });
                 let (client, presence, answers) = (self.client, self.socket.presence(), self.answers.clone());
                 let asked = Box::new(Asked { command, at, client, presence, slot, answers, share });
                 let _ = self.front.hub.send(Input::Asked(asked)).await;
@@ -461,6 +526,14 @@
     }
 }
 
+/// Whether a read shows that the client has left.
+fn left(read: io::Result<usize>) -> bool {
+    match read {
+        Ok(count) => count == 0,
+        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
 /// Waits until a point in time; for ever where there is none.
 async fn until(at: Option<Instant>) {
     match at {
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -1,6 +1,7 @@
 //! One node: clients on one side, cache servers, the origin and discovery on the other, the decision module
 //! between them.
 
+mod backlog;
 mod caches;
 mod clients;
 mod config;
--- a/src/bin/spardeal-node/socket.rs
+++ b/src/bin/spardeal-node/socket.rs
@@ -12,7 +12,6 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use bytes::BytesMut;
 use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
@@ -20,6 +19,8 @@
 
 /// Input is read in pieces of this size; a command that is longer has to wait for memory.
 pub const PIECE: usize = 4096;
+/// Input that is not kept is read in pieces of this size.
+const THROWN: usize = 64 * 1024;
 
 /// An attempt waits for so long at the most for the rest of its client's input to be read: the client's end may
 /// lie behind it, and the machine tells of that end only once it has room for all that is ahead of it.
@@ -52,7 +53,7 @@
 
     /// Whether the client has closed the connection or its half of it.
     pub fn ended(&self) -> bool {
-        self.ended
+        self.ended || told_of_end(&self.stream)
     }
 
     /// Waits until something has come in, the client has closed or, if that is asked, something can be written.
@@ -74,13 +75,21 @@
     }
 
     /// Reads a piece of what is there; nothing at the end of the input.
-    pub fn try_read(&mut self, into: &mut BytesMut) -> io::Result<usize> {
-        let mut piece = [0; PIECE];
+    pub fn read(&mut self, take: impl FnOnce(&[u8])) -> io::Result<usize> {
+        self.read_into(&mut [0; PIECE], take)
+    }
+
+    /// Reads a long piece that is not kept.
+    pub fn read_on(&mut self, take: impl FnOnce(&[u8])) -> io::Result<usize> {
+        self.read_into(&mut [0; THROWN], take)
+    }
+
+    fn read_into(&mut self, piece: &mut [u8], take: impl FnOnce(&[u8])) -> io::Result<usize> {
         // Not through tokio, which takes it that what was told once has been read.
-        let read = (&*SockRef::from(&*self.stream)).read(&mut piece);
+        let read = (&*SockRef::from(&*self.stream)).read(piece);
         // Less than was asked for is all there was, but for the end behind it.
-        self.unread = read.as_ref().is_ok_and(|count| self.ended || *count == PIECE);
-        into.extend_from_slice(&piece[..*read.as_ref().unwrap_or(&0)]);
+        self.unread = read.as_ref().is_ok_and(|count| self.ended() || *count == piece.len());
+        take(&piece[..*read.as_ref().unwrap_or(&0)]);
         read
     }
 
@@ -94,9 +103,9 @@
     pub async fn linger(&mut self, (time, bytes): (Duration, usize)) {
         let _ = SockRef::from(&*self.stream).shutdown(Shutdown::Write);
         let rest = async {
-            let (mut left, mut sink) = (bytes, BytesMut::new());
+            let mut left = bytes;
             while left > 0 {
-                match self.try_read(&mut sink) {
+                match self.read(|_| {}) {
                     Ok(0) => return,
                     Ok(count) => left = left.saturating_sub(count),
                     Err(e) if e.kind() == ErrorKind::WouldBlock => {
@@ -106,7 +115,6 @@
                     }
                     Err(_) => return,
                 }
-                sink.clear();
                 tokio::task::yield_now().await;
             }
         };
@@ -114,6 +122,13 @@
     }
 }
 
+/// Whether the runtime has been told of the end of a connection, when it last asked the machine.
+fn told_of_end(stream: &TcpStream) -> bool {
+    let ready = pin!(stream.ready(Interest::READABLE));
+    let told = ready.poll(&mut Context::from_waker(Waker::noop()));
+    matches!(told, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+}
+
 /// Whether a client is still there, for those who are about to do something for it: its connection's task may
 /// be told later than the machine.
 #[derive(Clone, Debug)]
@@ -133,9 +148,7 @@
         // A connection that has ended with a request open has lost its client.
         let Some(stream) = self.0.upgrade() else { return Seen::Gone };
         // An end behind unread input is in what the runtime has last heard of the machine ...
-        let ready = pin!(stream.ready(Interest::READABLE));
-        let told = ready.poll(&mut Context::from_waker(Waker::noop()));
-        if matches!(told, Poll::Ready(Ok(ready)) if ready.is_read_closed()) {
+        if told_of_end(&stream) {
             return Seen::Gone;
         }
         // ... and one behind nothing in what it says now.
