--- a/src/bin/spardeal-node/socket.rs
+++ b/src/bin/spardeal-node/socket.rs
@@ -3,20 +3,32 @@
 //! tokio tells of input until it has been read, so that nobody can wait for the end of a connection whose input
 //! is left with the machine. Here each piece of news is taken once, and what is still to be read is kept in mind.
 
+use std::future::Future;
 use std::io::{self, ErrorKind, Read};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::pin;
+use std::sync::{Arc, Weak};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use bytes::BytesMut;
 use socket2::SockRef;
-use tokio::io::{AsyncWriteExt, Interest};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Input is read in pieces of this size; a command that is longer has to wait for memory.
 pub const PIECE: usize = 4096;
+/// Input that is not kept is read in pieces of this size.
+const THROWN: usize = 64 * 1024;
+
+/// An attempt waits for so long at the most for the rest of its client's input to be read: the client's end may
+/// lie behind it, and the machine tells of that end only once it has room for all that is ahead of it.
+const READ_ON: Duration = Duration::from_millis(50);
 
 /// A client's socket.
 pub struct Socket {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     /// There may be input that was not read.
     unread: bool,
     /// The client sends no more, behind what may still be unread, or has reset the connection.
@@ -26,7 +38,12 @@
 impl Socket {
     /// The socket of a connection of which nothing has been read.
     pub fn new(stream: TcpStream) -> Self {
-        Socket { stream, unread: true, ended: false }
+        Socket { stream: Arc::new(stream), unread: true, ended: false }
+    }
+
+    /// Lets others look whether the client is still there.
+    pub fn presence(&self) -> Presence {
+        Presence(Arc::downgrade(&self.stream))
     }
 
     /// Whether there may be input to read.
@@ -36,7 +53,7 @@
 
     /// Whether the client has closed the connection or its half of it.
     pub fn ended(&self) -> bool {
-        self.ended
+        self.ended || told_of_end(&self.stream)
     }
 
     /// Waits until something has come in, the client has closed or, if that is asked, something can be written.
@@ -58,13 +75,21 @@
     }
 
     /// Reads a piece of what is there; nothing at the end of the input.
-    pub fn try_read(&mut self, into: &mut BytesMut) -> io::Result<usize> {
-        let mut piece = [0; PIECE];
+    pub fn read(&mut self, take: impl FnOnce(&[u8])) -> io::Result<usize> {
+        self.read_into(&mut [0; PIECE], take)
+    }
+
+    /// Reads a long piece that is not kept.
+    pub fn read_on(&mut self, take: impl FnOnce(&[u8])) -> io::Result<usize> {
+        self.read_into(&mut [0; THROWN], take)
+    }
+
+    fn read_into(&mut self, piece: &mut [u8], take: impl FnOnce(&[u8])) -> io::Result<usize> {
         // Not through tokio, which takes it that what was told once has been read.
-        let read = (&*SockRef::from(&self.stream)).read(&mut piece);
+        let read = (&*SockRef::from(&*self.stream)).read(piece);
         // Less than was asked for is all there was, but for the end behind it.
-        self.unread = read.as_ref().is_ok_and(|count| self.ended || *count == PIECE);
-        into.extend_from_slice(&piece[..*read.as_ref().unwrap_or(&0)]);
+        self.unread = read.as_ref().is_ok_and(|count| self.ended() || *count == piece.len());
+        take(&piece[..*read.as_ref().unwrap_or(&0)]);
         read
     }
 
@@ -76,11 +101,11 @@
     /// Reads on for a moment, and so much, after the last answer: a close with input unread would reset the
     /// connection and could take the answer away from the client.
     pub async fn linger(&mut self, (time, bytes): (Duration, usize)) {
-        let _ = self.stream.shutdown().await;
+        let _ = SockRef::from(&*self.stream).shutdown(Shutdown::Write);
         let rest = async {
-            let (mut left, mut sink) = (bytes, BytesMut::new());
+            let mut left = bytes;
             while left > 0 {
-                match self.try_read(&mut sink) {
+                match self.read(|_| {}) {
                     Ok(0) => return,
                     Ok(count) => left = left.saturating_sub(count),
                     Err(e) if e.kind() == ErrorKind::WouldBlock => {
@@ -90,10 +115,70 @@
                     }
                     Err(_) => return,
                 }
-                sink.clear();
                 tokio::task::yield_now().await;
             }
         };
         let _ = tokio::time::timeout(time, rest).await;
     }
 }
+
+/// Whether the runtime has been told of the end of a connection, when it last asked the machine.
+fn told_of_end(stream: &TcpStream) -> bool {
+    let ready = pin!(stream.ready(Interest::READABLE));
+    let told = ready.poll(&mut Context::from_waker(Waker::noop()));
+    matches!(told, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+}
+
+/// Whether a client is still there, for those who are about to do something for it: its connection's task may
+/// be told later than the machine.
+#[derive(Clone, Debug)]
+pub struct Presence(Weak<TcpStream>);
+
+/// What a look at a client's connection shows.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Seen {
+    Here,
+    /// It is open as far as can be seen; its end may lie behind input that was not read.
+    Unread,
+    Gone,
+}
+
+impl Presence {
+    fn look(&self) -> Seen {
+        // A connection that has ended with a request open has lost its client.
+        let Some(stream) = self.0.upgrade() else { return Seen::Gone };
+        // An end behind unread input is in what the runtime has last heard of the machine ...
+        if told_of_end(&stream) {
+            return Seen::Gone;
+        }
+        // ... and one behind nothing in what it says now.
+        match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => Seen::Gone,
+            Ok(_) => Seen::Unread,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => Seen::Here,
+            Err(_) => Seen::Gone,
+        }
+    }
+
+    /// Whether the client is known to have gone.
+    pub fn gone(&self) -> bool {
+        self.look() == Seen::Gone
+    }
+
+    /// Whether the client has gone, once its input has been read, or after a moment.
+    pub async fn gone_behind_its_input(&self) -> bool {
+        let by = Instant::now() + READ_ON;
+        // At first only until all that is ready has run, and the machine has been asked.
+        let mut pause = Duration::ZERO;
+        loop {
+            match self.look() {
+                Seen::Gone => return true,
+                Seen::Here => return false,
+                Seen::Unread if Instant::now() >= by => return false,
+                Seen::Unread if pause.is_zero() => tokio::task::yield_now().await,
+                Seen::Unread => tokio::time::sleep(pause).await,
+            }
+            pause = Duration::from_millis(1);
+        }
+    }
+}
