--- a/src/bin/spardeal-node/backlog.rs
+++ b/src/bin/spardeal-node/backlog.rs
@@ -12,9 +12,8 @@
 use crate::resp::{self, Malformed, Skip};
 use crate::socket::PIECE;
 
-/// So much is kept of commands that wait for others, in bytes: as much as the machine keeps for a reader that
-/// does not read, some hundred commands.
-const KEPT: usize = 64 * 1024;
+/// So much is kept of commands that wait for others, in bytes: the longest there is, or some hundred short ones.
+const KEPT: usize = resp::MAX_VALUE + 3 * PIECE;
 /// Position of the end of a piece in the input, and when the piece was read.
 type Mark = (u64, Micros);
 
