Hand out descriptors by who asks: peers that are no clients give way to those that are

A table of 256 descriptors was held for good by 154 peers that pinged every second, since each answer began their time of rest anew; and peers that said nothing held what was kept for refusals, 19 places, for 2.2 s each. Newcomers waited with the machine, unseen, or were refused and closed, and came again at once.

What concerns places is a module of its own now. A connection on which no proper request was taken is a stranger's. Strangers that have had 2 s give way first, then the clients that rested longest, for 2 s at the least, then strangers that have had less: those are told `-BUSY` and read on for a moment, so that a request that crosses the close finds its refusal. While few places are left one goes for each newcomer, half of those that may go at the most. Requests hold as many places as leave some for newcomers and what is sure to servers; beyond that they are refused, and their clients keep their connections. Servers take places of strangers too.

The idle client that makes room is one that has asked, and is closed not before 2 s. A late client that is refused keeps its connection until another wants its place.

--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -8,18 +8,16 @@
 use spardeal::settings::Deployment;
 use spardeal::{Effect, Key, Micros};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::memory::{Memory, Share};
 use crate::node::{Clock, Input};
+use crate::places::{ClientId, Leave, Place, Places};
 use crate::resp;
 use crate::socket::{PIECE, Socket};
 
-/// Names a client's connection; never used twice.
-pub type ClientId = u64;
-
 /// Requests of one connection that are answered at the same time; more wait unread. The first figure holds
 /// until it is known how long the answers are: together they may hold the third, as a part of the memory.
 const PIPELINE: (usize, usize, usize) = (16, 64, 16);
@@ -30,9 +28,7 @@
 const WHOLE: Duration = Duration::from_secs(2);
 /// An answer must be written so long after its turn has come.
 const WRITTEN: Duration = Duration::from_secs(4);
-/// A connection on which nothing is open may go after this long, where others wait for its place ...
-const SPARE: Duration = Duration::from_secs(2);
-/// ... and goes after this long in any case.
+/// A connection on which nothing is open goes after this long, also where nobody wants its place.
 const IDLE: Duration = Duration::from_secs(15);
 /// After an error that ends a connection, its client's input is read on for so long, and so much of it.
 const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
@@ -48,14 +44,8 @@
     pub hub: mpsc::Sender<Input>,
     /// Where the node stands.
     pub phase: watch::Receiver<Phase>,
-    /// Connections that may still be taken, those for refusals included.
-    pub room: Arc<Semaphore>,
-    /// Places of the table that clients and servers share; connections to servers that stand idle give way.
-    pub table: Arc<Semaphore>,
-    /// How many of the places for clients are kept for refusals.
-    pub refusals: usize,
-    /// Wakes the connection that has been idle for longest, to give its place up.
-    pub pressure: Notify,
+    /// The table of descriptors.
+    pub places: Arc<Places>,
     /// Requests that may still be taken; one counts until its answer is passed on.
     pub open: Arc<Semaphore>,
     /// What they and all else may hold.
@@ -80,13 +70,6 @@
     }
 }
 
-impl Front {
-    /// Whether only places for refusals are left.
-    fn crowded(&self) -> bool {
-        self.room.available_permits().min(self.table.available_permits()) < self.refusals
-    }
-}
-
 /// Where the node stands.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
@@ -146,39 +129,33 @@
 /// Takes connections until the node drains, then those that the machine has already taken.
 pub async fn listen(listener: TcpListener, front: Arc<Front>) {
     let mut phase = front.phase.clone();
-    let mut next: ClientId = 0;
     loop {
-        // A table with no place left at all leaves newcomers waiting with the machine until one is free.
-        if front.room.available_permits() == 0 {
-            front.pressure.notify_one();
-        }
-        let Ok(permit) = front.room.clone().acquire_owned().await else { return };
-        if front.table.available_permits() == 0 {
-            let _ = front.hub.try_send(Input::Crowded);
-        }
-        let Ok(place) = front.table.clone().acquire_owned().await else { return };
         let draining = *phase.borrow() == Phase::Draining;
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = tokio::time::sleep(Duration::from_millis(5)), if draining => return,
+            () = tokio::time::sleep(Duration::from_millis(5)), if draining => break,
             _ = phase.changed(), if !draining => continue,
         };
         match accepted {
             Ok((stream, _)) => {
-                next += 1;
-                // Against requests lost in a full table: the machine has taken a newcomer's request before the
-                // node has. An idle connection makes room for it; where all are busy it is refused at once.
-                let crowded = front.crowded();
-                if crowded {
-                    front.pressure.notify_one();
-                }
-                tokio::spawn(serve(stream, front.clone(), next, crowded, (permit, place)));
+                let place = loop {
+                    let place = front.places.newcomer();
+                    if front.places.servers_in_the_way() {
+                        let _ = front.hub.try_send(Input::Crowded);
+                    }
+                    match place {
+                        Some(place) => break place,
+                        None => front.places.changed().await,
+                    }
+                };
+                tokio::spawn(serve(stream, front.clone(), place));
             }
             // Out of descriptors, or the client has left: neither ends the node.
             Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
         }
     }
+    front.places.listening(false);
 }
 
 /// Why a connection of a client ends.
@@ -190,19 +167,13 @@
     Closed,
 }
 
-async fn serve(
-    stream: TcpStream,
-    front: Arc<Front>,
-    client: ClientId,
-    late: bool,
-    _places: (OwnedSemaphorePermit, OwnedSemaphorePermit),
-) {
+async fn serve(stream: TcpStream, front: Arc<Front>, place: Place) {
     let _ = stream.set_nodelay(true);
     let (answers, answered) = mpsc::channel(PIPELINE.1 + 1);
     let now = Instant::now();
     let mut session = Session {
         socket: Socket::new(stream),
-        client,
+        place,
         answers,
         answered,
         input: BytesMut::new(),
@@ -211,7 +182,7 @@
         slots: VecDeque::new(),
         first: 0,
         broken: false,
-        late,
+        looked: false,
         longest: 0,
         whole_by: Some(now + FIRST),
         idle_since: now,
@@ -219,8 +190,9 @@
     };
     let ended = session.run().await;
     if session.slots.iter().any(|slot| slot.answer.is_none()) {
-        let _ = session.front.hub.send(Input::ClientGone(client)).await;
+        let _ = session.front.hub.send(Input::ClientGone(session.place.id())).await;
     }
+    session.place.leaving();
     if ended == Ended::Closed && session.broken {
         session.socket.linger(LINGER).await;
     }
@@ -245,7 +217,7 @@
 
 struct Session {
     socket: Socket,
-    client: ClientId,
+    place: Place,
     answers: mpsc::Sender<Answer>,
     answered: mpsc::Receiver<Answer>,
     input: BytesMut,
@@ -258,8 +230,8 @@
     first: u64,
     /// No more is read: the framing of the input is lost, or a time limit has passed.
     broken: bool,
-    /// It came when there were only places for refusals left.
-    late: bool,
+    /// Since it was asked for its place, it was looked whether there is more to read.
+    looked: bool,
     /// Its longest answer so far.
     longest: usize,
     /// When the command that is awaited must be whole; `None` where none has begun.
@@ -287,6 +259,9 @@
                     Ok(count) if count == output.bytes.len() => {
                         self.output = None;
                         self.idle_since = Instant::now();
+                        if self.slots.is_empty() {
+                            self.place.rest();
+                        }
                         continue;
                     }
                     Ok(count) => {
@@ -317,8 +292,26 @@
                 return Ended::Gone;
             }
             let between = !owes && self.input.is_empty() && !unread;
-            let spare_at = self.idle_since + SPARE;
-            let spare = between && self.first > 0 && Instant::now() >= spare_at;
+            let asked = self.place.asked();
+            self.looked &= asked.is_some();
+            if let Some(leave) = asked.filter(|_| long || !unread) {
+                match leave {
+                    // Against a request that the machine has and the runtime has not told of yet.
+                    _ if room && !long && !std::mem::replace(&mut self.looked, true) => {
+                        self.socket.look_again()
+                    }
+                    Leave::Client | Leave::Stranger if between && self.first > 0 => return Ended::Closed,
+                    Leave::Client => self.place.stay(),
+                    _ if owes => return Ended::Gone,
+                    // Against a request that is lost because it crosses the close: what is under way finds its
+                    // answer there. It is refused, as it is never read.
+                    Leave::Stranger | Leave::Newcomer => {
+                        self.broken = true;
+                        self.answer_now("-BUSY\r\n");
+                    }
+                }
+                continue;
+            }
             let by = self.output.as_ref().map(|output| output.by);
             let whole_by = self.whole_by.filter(|_| room);
             tokio::select! {
@@ -351,7 +344,7 @@
                 }
                 _ = phase.changed(), if !draining => {}
                 () = std::future::ready(()), if draining && between => return Ended::Closed,
-                () = self.front.pressure.notified(), if spare => return Ended::Closed,
+                () = self.place.pressed() => {}
                 () = until(whole_by), if whole_by.is_some() => {
                     // Against clients that say nothing or leave a command half said: they hold a place that
                     // others want. What was whole before is still answered.
@@ -359,8 +352,7 @@
                     self.answer_now("-ERR no whole command in time\r\n");
                 }
                 () = until(by), if by.is_some() => return Ended::Gone,
-                () = sleep_until(spare_at), if between && !spare && self.first > 0 => {}
-                () = sleep_until(self.idle_since + IDLE), if spare => return Ended::Closed,
+                () = sleep_until(self.idle_since + IDLE), if between && self.first > 0 => return Ended::Closed,
             }
         }
     }
@@ -423,12 +415,11 @@
             // Forced by the input: the module can't be told of a request that names none of its classes.
             Err(what) => self.answer_now(format!("-ERR {what}\r\n")),
             Ok(command) => {
-                // Forced by a full table of sockets: refused, as it was never sent, and its place is free again.
-                if self.late && self.front.crowded() {
-                    self.broken = true;
+                // Forced by a full table of sockets: refused, as it was never sent. The connection may stay until
+                // another wants its place, since a client that loses it comes again on a new one.
+                if !self.place.hold() {
                     return self.answer_now("-BUSY\r\n");
                 }
-                self.late = false;
                 // Forced by the end of the process: on a connection that always has a request open there is no
                 // moment to close it in, and what is taken now could be unanswered when the platform kills the
                 // node. Refused, as it was never sent; another node takes it.
@@ -448,7 +439,7 @@
                 };
                 let slot = self.first + self.slots.len() as u64;
                 self.slots.push_back(Slot { answer: None, open: Some((permit, id)) });
-                let (client, answers) = (self.client, self.answers.clone());
+                let (client, answers) = (self.place.id(), self.answers.clone());
                 let asked = Box::new(Asked { command, at, client, slot, answers, share });
                 let _ = self.front.hub.send(Input::Asked(asked)).await;
             }
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod node;
 mod origin;
+mod places;
 mod resp;
 mod socket;
 mod upstreams;
@@ -19,19 +20,18 @@
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, Semaphore, mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
 use clients::{Front, Phase};
 use config::Config;
 use memory::Memory;
 use node::{Clock, Input, Node};
+use places::Places;
 
 /// What waits between the connections and the node's loop.
 const INPUTS: usize = 1024;
 /// Requests taken and not yet answered.
 const MAX_OPEN: usize = 1024;
-/// Sockets kept back for the listener, discovery and the runtime, and for those just being closed.
-const RESERVE: usize = 16;
 
 /// Writes a line to the log; a log that can't be written to is no reason to stop.
 pub fn log(line: &str) {
@@ -42,11 +42,7 @@
     let (hub, inputs) = mpsc::channel(INPUTS);
     let (phase_set, phase) = watch::channel(Phase::Starting);
     let clock = Clock::start();
-    // Clients and servers share the table of sockets; neither can take more of it than leaves the others a
-    // third at the least.
-    let places = config.sockets - (RESERVE + config.sockets / 32).min(config.sockets / 2);
-    let part = places * 2 / 3;
-    let (table, room) = (Arc::new(Semaphore::new(places)), Arc::new(Semaphore::new(part)));
+    let places = Places::new(config.sockets);
     let mut terms = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
     let mut hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
@@ -59,14 +55,12 @@
         clock,
         hub: hub.clone(),
         phase,
-        room: room.clone(),
-        table: table.clone(),
-        refusals: (part / 8).max(1),
-        pressure: Notify::new(),
+        places: places.clone(),
         open,
         memory: memory.clone(),
         ids: Arc::default(),
     };
+    places.listening(true);
     tokio::spawn(clients::listen(listener, Arc::new(front)));
     let signals = hub.clone();
     tokio::spawn(async move {
@@ -84,10 +78,9 @@
             }
         }
     });
-    // All of them: a listener that drains gives back the place that it kept for the next client, and were one
-    // allowed for it, the node would end before the last client had its answer.
-    let idle = move || room.available_permits() >= part;
-    Node::new(config, deployment, clock, hub, (part, table), memory).run(inputs, phase_set, idle).await;
+    let clients = places.clone();
+    let idle = move || clients.deserted();
+    Node::new(config, deployment, clock, hub, places, memory).run(inputs, phase_set, idle).await;
     Ok(())
 }
 
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -13,13 +13,14 @@
     Action, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId, ServerId,
     ServerLine, Status,
 };
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clients::{Answer, Asked, ClientId, Command, Phase};
+use crate::clients::{Answer, Asked, Command, Phase};
 use crate::config::Config;
 use crate::discovery::{Discovery, Era, Failure, Listing};
 use crate::memory::{Memory, Share};
+use crate::places::{ClientId, Places};
 use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech};
 use crate::{caches, log, origin, resp};
 
@@ -144,7 +145,7 @@
         deployment: Arc<Deployment>,
         clock: Clock,
         hub: mpsc::Sender<Input>,
-        table: (usize, Arc<Semaphore>),
+        places: Arc<Places>,
         memory: Memory,
     ) -> Self {
         Node {
@@ -156,7 +157,7 @@
             attempts: HashMap::new(),
             next: 1,
             servers: HashMap::new(),
-            pool: Pool::new(table, deployment.clone(), memory.clone(), hub.clone()),
+            pool: Pool::new(places, deployment.clone(), memory.clone(), hub.clone()),
             memory,
             discovery: Discovery::new(
                 config.discovery,
--- a/src/bin/spardeal-node/socket.rs
+++ b/src/bin/spardeal-node/socket.rs
@@ -34,6 +34,11 @@
         self.unread
     }
 
+    /// There may be input of which no news has come yet.
+    pub fn look_again(&mut self) {
+        self.unread = true;
+    }
+
     /// Whether the client has closed the connection or its half of it.
     pub fn ended(&self) -> bool {
         self.ended
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -14,11 +14,12 @@
 use spardeal::{Load, Micros, Note, RequestId, ServerId, Status};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 use crate::memory::Memory;
 use crate::node::Input;
+use crate::places::{Places, ServerPlace};
 use crate::resp::MAX_VALUE;
 use crate::{caches, http, origin, resp};
 
@@ -81,7 +82,7 @@
     attempt: Option<AttemptKey>,
     idle_since: Micros,
     carried: u64,
-    _place: OwnedSemaphorePermit,
+    _place: ServerPlace,
 }
 
 impl Conn {
@@ -104,8 +105,7 @@
     /// Idle connections of each server, the one used last at the end.
     idle: HashMap<ServerId, Vec<ConnId>>,
     next: ConnId,
-    limit: usize,
-    table: Arc<Semaphore>,
+    places: Arc<Places>,
     idle_limit: Micros,
     deployment: Arc<Deployment>,
     memory: Memory,
@@ -113,9 +113,9 @@
 }
 
 impl Pool {
-    /// A pool of at most so many connections, in places of a table that others use too.
+    /// A pool of connections in places of a table that others use too.
     pub fn new(
-        (limit, table): (usize, Arc<Semaphore>),
+        places: Arc<Places>,
         deployment: Arc<Deployment>,
         memory: Memory,
         hub: mpsc::Sender<Input>,
@@ -124,7 +124,7 @@
         // may have run and so may not be sent again.
         let idle_limit = deployment.idle_close / 2;
         let (conns, idle) = (HashMap::new(), HashMap::new());
-        Pool { conns, idle, next: 1, limit, table, idle_limit, deployment, memory, hub }
+        Pool { conns, idle, next: 1, places, idle_limit, deployment, memory, hub }
     }
 
     /// An idle connection to a server for an attempt, if there is one.
@@ -154,13 +154,10 @@
         speech: Speech,
         attempt: AttemptKey,
     ) -> Option<ConnId> {
-        if self.conns.len() >= self.limit || self.table.available_permits() == 0 {
+        let _place = self.places.server().or_else(|| {
             self.drop_one_idle();
-        }
-        if self.conns.len() >= self.limit {
-            return None;
-        }
-        let _place = self.table.clone().try_acquire_owned().ok()?;
+            self.places.server()
+        })?;
         let id = self.next;
         self.next += 1;
         let (jobs, take) = mpsc::channel(1);
