Close clients that have rested also where their third runs out and not only the table

Clients use at most a third of the descriptors, less than the table has places for them. Clients that ask once and rest held that third for up to 15 s while the table had room, so that nobody pressed, and those that wanted to ask found no connection left and never came.

From seven eighths of the third on those that rested longest go, for 2 s at the least, so many as are beyond.

--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -14,7 +14,7 @@
 
 use crate::memory::{Memory, Share};
 use crate::node::{Clock, Input};
-use crate::places::{ClientId, Leave, Place, Places};
+use crate::places::{ClientId, Leave, Place, Places, REST};
 use crate::resp;
 use crate::socket::{PIECE, Socket};
 
@@ -186,6 +186,7 @@
         longest: 0,
         whole_by: Some(now + FIRST),
         idle_since: now,
+        rested_at: None,
         front,
     };
     let ended = session.run().await;
@@ -238,6 +239,8 @@
     whole_by: Option<Instant>,
     /// Since when nothing is owed.
     idle_since: Instant,
+    /// When it will have rested; `None` once it has.
+    rested_at: Option<Instant>,
     front: Arc<Front>,
 }
 
@@ -261,6 +264,7 @@
                         self.idle_since = Instant::now();
                         if self.slots.is_empty() {
                             self.place.rest();
+                            self.rested_at = Some(Instant::now() + REST);
                         }
                         continue;
                     }
@@ -345,6 +349,10 @@
                 _ = phase.changed(), if !draining => {}
                 () = std::future::ready(()), if draining && between => return Ended::Closed,
                 () = self.place.pressed() => {}
+                () = until(self.rested_at), if between && self.rested_at.is_some() => {
+                    self.rested_at = None;
+                    self.place.rested();
+                }
                 () = until(whole_by), if whole_by.is_some() => {
                     // Against clients that say nothing or leave a command half said: they hold a place that
                     // others want. What was whole before is still answered.
--- a/src/bin/spardeal-node/places.rs
+++ b/src/bin/spardeal-node/places.rs
@@ -13,7 +13,7 @@
 /// being closed.
 const RESERVE: usize = 16;
 /// A connection on which nothing is open may go after this long, where others want its place.
-const REST: Duration = Duration::from_secs(2);
+pub const REST: Duration = Duration::from_secs(2);
 /// While no place is free, one is looked for again after this long at the latest: time makes more connections
 /// ready to give way, and nothing tells of it.
 const AGAIN: Duration = Duration::from_millis(20);
@@ -32,6 +32,9 @@
     spare: usize,
     /// So many are left to servers by newcomers, whatever servers have already.
     ahead: usize,
+    /// From so many connections of clients on, those that have rested go also where nobody wants their places.
+    /// Clients use at most a third of the descriptors, so that some of them want one and don't come.
+    many: usize,
     taken: Mutex<Taken>,
     freed: Notify,
 }
@@ -54,6 +57,14 @@
     wake: Arc<Notify>,
 }
 
+impl Standing {
+    /// Asks the connection to give its place up.
+    fn ask(&mut self) {
+        self.going = true;
+        self.wake.notify_one();
+    }
+}
+
 #[derive(Clone, Copy)]
 enum State {
     /// No request was taken on it yet, so whoever is there may be no client. Since it came, or since a request
@@ -97,7 +108,8 @@
         let part = all * 2 / 3;
         let spare = (part / 8).max(1);
         let (ahead, taken, freed) = ((spare / 2).max(1), Mutex::default(), Notify::new());
-        Arc::new(Places { all, part, spare, ahead, taken, freed })
+        let many = sockets / 3 - sockets / 24;
+        Arc::new(Places { all, part, spare, ahead, many, taken, freed })
     }
 
     fn lock(&self) -> MutexGuard<'_, Taken> {
@@ -121,6 +133,7 @@
     /// there are more than that, and so must those be who go.
     pub fn newcomer(self: &Arc<Self>) -> Option<Place> {
         let mut taken = self.lock();
+        taken.relieve(self.many);
         let free = self.free(&taken, taken.servers);
         match free {
             0 => taken.make_room(usize::MAX),
@@ -185,6 +198,18 @@
         others.filter(|(_, standing)| standing.going || standing.state.turn(now).is_some()).count()
     }
 
+    /// Asks clients that have rested to go, as far as there are more clients than so many.
+    fn relieve(&mut self, many: usize) {
+        let now = Instant::now();
+        let client = |s: &&mut Standing| !s.going && !matches!(s.state, State::Stranger(_));
+        let clients: Vec<_> = self.clients.values_mut().filter(client).collect();
+        let over = clients.len().saturating_sub(many);
+        let rested = clients.into_iter().filter_map(|s| Some((s.state.turn(now)?, s)));
+        let mut rested: Vec<_> = rested.collect();
+        rested.sort_unstable_by_key(|(turn, _)| *turn);
+        rested.into_iter().take(over).for_each(|(_, standing)| standing.ask());
+    }
+
     /// Asks up to so many connections to give their places up, those whose turn it is. One that goes keeps its place
     /// for a moment longer, so that were all asked at once, all would have to go as soon as they have come: at most
     /// half of those that give way go at the same time.
@@ -195,10 +220,7 @@
         let turns = self.clients.values_mut().filter(|standing| !standing.going);
         let mut turns: Vec<_> = turns.filter_map(|s| Some((s.state.turn(now)?, s))).collect();
         turns.sort_unstable_by_key(|(turn, _)| *turn);
-        for (_, standing) in turns.into_iter().take(most) {
-            standing.going = true;
-            standing.wake.notify_one();
-        }
+        turns.into_iter().take(most).for_each(|(_, standing)| standing.ask());
     }
 }
 
@@ -242,6 +264,11 @@
         }
     }
 
+    /// A client has rested for as long as the terms want.
+    pub fn rested(&self) {
+        self.places.lock().relieve(self.places.many);
+    }
+
     /// Whether the connection is asked to give its place up.
     pub fn asked(&self) -> Option<Leave> {
         let taken = self.places.lock();
--- a/tests/node/crowd.rs
+++ b/tests/node/crowd.rs
@@ -353,6 +353,20 @@
     assert!(later.into_iter().any(|answer| answer == "late"));
 }
 
+#[test]
+fn clients_that_rest_leave_some_of_the_third_that_clients_may_use_to_those_that_ask() {
+    let (node, _cache) = small();
+    let mut clients: Vec<_> = (0..21).map(|_| node.client()).collect();
+    let begun = Instant::now();
+    for (id, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.ask(&get("aa", &id.to_string())).unwrap(), "aa");
+    }
+    assert_eq!(clients[0].answer(), None, "closed between requests, while there are places left");
+    // Long before it is closed in any case.
+    assert!(begun.elapsed() >= Duration::from_secs(2) && begun.elapsed() < Duration::from_secs(10));
+    assert_eq!(clients[20].ask(&get("aa", "last")).unwrap(), "aa", "no more than need be");
+}
+
 #[test]
 fn a_node_that_starts_into_a_crowd_is_ready_and_serves_from_the_list_that_discovery_has_when_it_returns() {
     for push in [false, true] {
