--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -10,19 +10,17 @@
 use spardeal::settings::Deployment;
 use spardeal::{Effect, Key, Micros};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time::{Instant, sleep_until};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::backlog::{Backlog, Next};
 use crate::memory::{Memory, Share};
 use crate::node::{Clock, Input};
+use crate::places::{ClientId, Leave, Place, Places, REST};
 use crate::resp;
 use crate::socket::{PIECE, Presence, Socket};
 
-/// Names a client's connection; never used twice.
-pub type ClientId = u64;
-
 /// Requests of one connection that are answered at the same time; more wait, or are refused. The first figure
 /// holds until it is known how long the answers are: together they may hold the third, as a part of the memory.
 const PIPELINE: (usize, usize, usize) = (16, 64, 16);
@@ -33,9 +31,7 @@
 const WHOLE: Duration = Duration::from_secs(2);
 /// An answer must be written so long after its turn has come.
 const WRITTEN: Duration = Duration::from_secs(4);
-/// A connection on which nothing is open may go after this long, where others wait for its place ...
-const SPARE: Duration = Duration::from_secs(2);
-/// ... and goes after this long in any case.
+/// A connection on which nothing is open goes after this long, also where nobody wants its place.
 const IDLE: Duration = Duration::from_secs(15);
 /// After an error that ends a connection, its client's input is read on for so long, and so much of it.
 const LINGER: (Duration, usize) = (Duration::from_millis(200), 256 * 1024);
@@ -63,14 +59,8 @@
     pub hub: mpsc::Sender<Input>,
     /// Where the node stands.
     pub phase: watch::Receiver<Phase>,
-    /// Connections that may still be taken, those for refusals included.
-    pub room: Arc<Semaphore>,
-    /// Places of the table that clients and servers share; connections to servers that stand idle give way.
-    pub table: Arc<Semaphore>,
-    /// How many of the places for clients are kept for refusals.
-    pub refusals: usize,
-    /// Wakes the connection that has been idle for longest, to give its place up.
-    pub pressure: Notify,
+    /// The table of descriptors.
+    pub places: Arc<Places>,
     /// Requests that may still be taken; one counts until its answer is passed on.
     pub open: Arc<Semaphore>,
     /// What they and all else may hold.
@@ -95,13 +85,6 @@
     }
 }
 
-impl Front {
-    /// Whether only places for refusals are left.
-    fn crowded(&self) -> bool {
-        self.room.available_permits().min(self.table.available_permits()) < self.refusals
-    }
-}
-
 /// Where the node stands.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
@@ -163,39 +146,33 @@
 /// Takes connections until the node drains, then those that the machine has already taken.
 pub async fn listen(listener: TcpListener, front: Arc<Front>) {
     let mut phase = front.phase.clone();
-    let mut next: ClientId = 0;
     loop {
-        // A table with no place left at all leaves newcomers waiting with the machine until one is free.
-        if front.room.available_permits() == 0 {
-            front.pressure.notify_one();
-        }
-        let Ok(permit) = front.room.clone().acquire_owned().await else { return };
-        if front.table.available_permits() == 0 {
-            let _ = front.hub.try_send(Input::Crowded);
-        }
-        let Ok(place) = front.table.clone().acquire_owned().await else { return };
         let draining = *phase.borrow() == Phase::Draining;
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            () = tokio::time::sleep(Duration::from_millis(5)), if draining => return,
+            () = tokio::time::sleep(Duration::from_millis(5)), if draining => break,
             _ = phase.changed(), if !draining => continue,
         };
         match accepted {
             Ok((stream, _)) => {
-                next += 1;
-                // Against requests lost in a full table: the machine has taken a newcomer's request before the
-                // node has. An idle connection makes room for it; where all are busy it is refused at once.
-                let crowded = front.crowded();
-                if crowded {
-                    front.pressure.notify_one();
-                }
-                tokio::spawn(serve(stream, front.clone(), next, crowded, (permit, place)));
+                let place = loop {
+                    let place = front.places.newcomer();
+                    if front.places.servers_in_the_way() {
+                        let _ = front.hub.try_send(Input::Crowded);
+                    }
+                    match place {
+                        Some(place) => break place,
+                        None => front.places.changed().await,
+                    }
+                };
+                tokio::spawn(serve(stream, front.clone(), place));
             }
             // Out of descriptors, or the client has left: neither ends the node.
             Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
         }
     }
+    front.places.listening(false);
 }
 
 /// Why a connection of a client ends.
@@ -207,19 +184,13 @@
     Closed,
 }
 
-async fn serve(
-    stream: TcpStream,
-    front: Arc<Front>,
-    client: ClientId,
-    late: bool,
-    _places: (OwnedSemaphorePermit, OwnedSemaphorePermit),
-) {
+async fn serve(stream: TcpStream, front: Arc<Front>, place: Place) {
     let _ = stream.set_nodelay(true);
     let (answers, answered) = mpsc::channel(PIPELINE.1 + 1);
     let now = Instant::now();
     let mut session = Session {
         socket: Socket::new(stream),
-        client,
+        place,
         answers,
         answered,
         input: Backlog::new(front.memory.clone()),
@@ -229,21 +200,23 @@
         slots: VecDeque::new(),
         first: 0,
         broken: false,
-        late,
+        looked: false,
         longest: 0,
         whole_by: Some(now + FIRST),
         idle_since: now,
+        rested_at: None,
         front,
     };
     let ended = session.run().await;
-    let Session { mut socket, slots, broken, front, .. } = session;
+    let Session { mut socket, slots, broken, front, place, .. } = session;
+    place.leaving();
     if ended == Ended::Closed && broken {
         socket.linger(LINGER).await;
     }
     // From here on nothing is sent on for it, also while the news of its end waits behind others.
     drop(socket);
     if slots.iter().any(Slot::open) {
-        let _ = front.hub.send(Input::ClientGone(client)).await;
+        let _ = front.hub.send(Input::ClientGone(place.id())).await;
     }
 }
 
@@ -274,7 +247,7 @@
 
 struct Session {
     socket: Socket,
-    client: ClientId,
+    place: Place,
     answers: mpsc::Sender<Answer>,
     answered: mpsc::Receiver<Answer>,
     input: Backlog,
@@ -289,14 +262,16 @@
     first: u64,
     /// No more is taken: the framing of the input is lost, or a time limit has passed.
     broken: bool,
-    /// It came when there were only places for refusals left.
-    late: bool,
+    /// Since it was asked for its place, it was looked whether there is more to read.
+    looked: bool,
     /// Its longest answer so far.
     longest: usize,
     /// When the command that is awaited must be whole; `None` where none has begun.
     whole_by: Option<Instant>,
     /// Since when nothing is owed.
     idle_since: Instant,
+    /// When it will have rested; `None` once it has.
+    rested_at: Option<Instant>,
     front: Arc<Front>,
 }
 
@@ -318,6 +293,10 @@
                     Ok(count) if count == output.bytes.len() => {
                         self.output = None;
                         self.idle_since = Instant::now();
+                        if self.slots.is_empty() {
+                            self.place.rest();
+                            self.rested_at = Some(Instant::now() + REST);
+                        }
                         continue;
                     }
                     Ok(count) => {
@@ -356,8 +335,28 @@
             self.long_by = (long && open).then(|| self.long_by.unwrap_or_else(|| Instant::now() + LONG));
             let (long_by, next_piece) = (self.long_by, self.next_piece.max(Instant::now()));
             let between = !owes && self.input.is_empty() && !unread;
-            let spare_at = self.idle_since + SPARE;
-            let spare = between && self.first > 0 && Instant::now() >= spare_at;
+            let asked = self.place.asked();
+            self.looked &= asked.is_some();
+            // One that goes on to send what is no request is not waited for.
+            let chatters = |leave: &Leave| *leave == Leave::Stranger && self.first > PIPELINE.1 as u64;
+            if let Some(leave) = asked.filter(|leave| long || !unread || chatters(leave)) {
+                match leave {
+                    // Against a request that the machine has and the runtime has not told of yet.
+                    _ if room && !long && !std::mem::replace(&mut self.looked, true) => {
+                        self.socket.look_again()
+                    }
+                    Leave::Client | Leave::Stranger if between && self.first > 0 => return Ended::Closed,
+                    Leave::Client => self.place.stay(),
+                    _ if owes => return Ended::Gone,
+                    // Against a request that is lost because it crosses the close: what is under way finds its
+                    // answer there. It is refused, as it is never read.
+                    Leave::Stranger | Leave::Newcomer => {
+                        self.broken = true;
+                        self.answer_now(REFUSAL);
+                    }
+                }
+                continue;
+            }
             let by = self.output.as_ref().map(|output| output.by);
             let whole_by = self.whole_by.filter(|_| room);
             tokio::select! {
@@ -392,7 +391,11 @@
                 }
                 _ = phase.changed(), if !draining => {}
                 () = std::future::ready(()), if draining && between => return Ended::Closed,
-                () = self.front.pressure.notified(), if spare => return Ended::Closed,
+                () = self.place.pressed() => {}
+                () = until(self.rested_at), if between && self.rested_at.is_some() => {
+                    self.rested_at = None;
+                    self.place.rested();
+                }
                 () = until(whole_by), if whole_by.is_some() => {
                     // Against clients that say nothing or leave a command half said: they hold a place that
                     // others want. What was whole before is still answered.
@@ -400,8 +403,7 @@
                     self.answer_now("-ERR no whole command in time\r\n");
                 }
                 () = until(by), if by.is_some() => return Ended::Gone,
-                () = sleep_until(spare_at), if between && !spare && self.first > 0 => {}
-                () = sleep_until(self.idle_since + IDLE), if spare => return Ended::Closed,
+                () = sleep_until(self.idle_since + IDLE), if between && self.first > 0 => return Ended::Closed,
             }
         }
     }
@@ -489,12 +491,11 @@
             // Forced by the input: the module can't be told of a request that names none of its classes.
             Err(what) => self.answer_now(format!("-ERR {what}\r\n")),
             Ok(command) => {
-                // Forced by a full table of sockets: refused, as it was never sent, and its place is free again.
-                if self.late && self.front.crowded() {
-                    self.broken = true;
+                // Forced by a full table of sockets: refused, as it was never sent. The connection may stay until
+                // another wants its place, since a client that loses it comes again on a new one.
+                if !self.place.hold() {
                     return self.answer_now(REFUSAL);
                 }
-                self.late = false;
                 // Against work for nobody: there is no one to answer.
                 if self.socket.ended() {
                     return self.answer_now(REFUSAL);
@@ -518,7 +519,8 @@
                 };
                 let slot = self.first + self.slots.len() as u64;
                 self.slots.push_back(Slot::Open { counted: (permit, id) });
-                let (client, presence, answers) = (self.client, self.socket.presence(), self.answers.clone());
+                let (client, presence, answers) =
+                    (self.place.id(), self.socket.presence(), self.answers.clone());
                 let asked = Box::new(Asked { command, at, client, presence, slot, answers, share });
                 let _ = self.front.hub.send(Input::Asked(asked)).await;
             }
