The test of a drain while a connection comes up waits until its request is taken

The request and the list that drains its server were sent at once over two connections, and a node that read the list first sent the request to the other server: no connection came up, and the test waited for it until it failed.

--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -384,6 +384,9 @@
     let mut client = node.client();
     client.send(&patient_get("aa", "1"));
     client.out.set_read_timeout(Some(3 * LONG)).unwrap();
+    // Behind it on the same connection, so that the node has taken it before the list once this is at the origin.
+    client.send(&put("cc", "behind", "v"));
+    assert_eq!(origin.next().words[0], "PUT /cc HTTP/1.1");
     let drains = entry("s-1", crowded.address, "std", "leaving");
     let joins = entry("s-2", second.address, "std", "active");
     say.send(chunk(&listing(6, false, &[drains, joins]))).unwrap();
