--- a/src/bin/spardeal-node/upstreams/tests.rs
+++ b/src/bin/spardeal-node/upstreams/tests.rs
@@ -80,3 +80,22 @@
         assert_eq!(had, b"", "{at}");
     }
 }
+
+#[test]
+fn a_connection_rests_after_an_answer_until_what_may_come_a_moment_behind_it_has_come() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (hub, mut inputs) = mpsc::channel(8);
+        let deployment = Arc::new(spardeal::settings::read(b"{}").unwrap());
+        let mut pool = Pool::new(Places::new(256), deployment, Memory::new(64), hub);
+        let id = pool.open(7, address, Speech::Resp, (1, 0)).unwrap();
+        assert!(matches!(inputs.recv().await, Some(Input::Conn(_, News::Up))));
+        for answered in [1_000_000, 2_000_000] {
+            pool.release(id, Some(address), answered);
+            assert_eq!(pool.reuse(7, (2, 0), answered + 14_999), None, "some milliseconds later it may come");
+            assert_eq!(pool.reuse(7, (2, 0), answered + 15_000), Some(id));
+        }
+    });
+}
