Log each call to discovery and each change of a server's condition; split two modules

Cause: the logs of the drain incident could not answer when a node called discovery, when it was answered, which version was in force and which server drained: lines on shedding, several a second, hid the few there were.

Change: a line for each call to discovery with its address and version, for its answer with the time it took, for each list with the servers whose condition it changed, for an attempt that is not written since its server takes no new work, and one at the start with the figures of the settings that calls depend on. Shedding is logged once in 30 s at most.

--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -265,6 +265,8 @@
 /// all that discovery had to tell has been heard.
 async fn lists(address: SocketAddr, path: &str, to: &Line, heard: &mut Instant) -> Result<(), CallError> {
     let silent = |_| CallError::Silent;
+    let called = Instant::now();
+    log(&format!("discovery: calling {address}{path}"));
     let connect = async { timeout(CONNECT, TcpStream::connect(address)).await? };
     let mut stream = connect.await.map_err(CallError::Unreachable)?;
     let _ = stream.set_nodelay(true);
@@ -285,6 +287,7 @@
     if head.status != 200 {
         return Err(CallError::Status(head.status));
     }
+    log(&format!("discovery: {address} answers after {} ms", called.elapsed().as_millis()));
     let _ = raw.split_to(head.length);
     let mut chunks = Chunks::default();
     let mut left = head.content_length.unwrap_or(usize::MAX);
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -12,6 +12,7 @@
 mod origin;
 mod places;
 mod resp;
+mod server_table;
 mod socket;
 mod upstreams;
 
@@ -49,6 +50,13 @@
     let listener = TcpListener::bind(config.listen).await?;
     log(&format!("listening on {}", listener.local_addr()?));
     let deployment = Arc::new(config.deployment.clone());
+    let settings = &deployment.settings;
+    log(&format!(
+        "{} balancers, discovery to be asked within {} ms, grace of a drain {} ms",
+        settings.balancers,
+        settings.ask_within / 1_000,
+        settings.drain_grace / 1_000,
+    ));
     let open = Arc::new(Semaphore::new(deployment.max_open.min(MAX_OPEN)));
     let memory = Memory::new(config.memory_mb);
     let front = Front {
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -3,24 +3,23 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::{Bytes, BytesMut};
 use spardeal::settings::Deployment;
 use spardeal::{
-    Action, CallFailure, Condition, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId,
-    ServerId, ServerLine, Status,
+    Action, CallFailure, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId, ServerId,
+    Status,
 };
 use tokio::sync::{mpsc, watch};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clients::{Answer, Asked, Command, Phase};
 use crate::config::Config;
 use crate::discovery::{Discovery, Era, Listing};
 use crate::memory::{Memory, Share};
 use crate::places::{ClientId, Places};
+use crate::server_table::ServerTable;
 use crate::socket::Presence;
 use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech};
 use crate::{caches, log, origin, resp};
@@ -93,14 +92,6 @@
     Ended,
 }
 
-struct Server {
-    address: SocketAddr,
-    speech: Speech,
-    condition: Condition,
-    /// When it last answered anything.
-    heard: Micros,
-}
-
 struct Open {
     command: Command,
     client: ClientId,
@@ -132,7 +123,7 @@
     open: HashMap<RequestId, Open>,
     attempts: HashMap<AttemptKey, Attempt>,
     next: RequestId,
-    servers: HashMap<ServerId, Server>,
+    servers: ServerTable,
     pool: Pool,
     memory: Memory,
     discovery: Discovery,
@@ -158,7 +149,7 @@
             open: HashMap::new(),
             attempts: HashMap::new(),
             next: 1,
-            servers: HashMap::new(),
+            servers: ServerTable::new(deployment.clone()),
             pool: Pool::new(places, deployment.clone(), memory.clone(), hub.clone()),
             memory,
             discovery: Discovery::new(
@@ -189,7 +180,7 @@
         self.timers.push(Reverse((self.clock.now() + SWEEP, Due::Sweep)));
         let mut ready = false;
         loop {
-            if !ready && self.servers.values().any(|s| s.condition == Condition::Ready) {
+            if !ready && self.servers.any_ready() {
                 ready = true;
                 phase.send_if_modified(|p| {
                     *p == Phase::Starting && {
@@ -409,7 +400,7 @@
         let allowed =
             !open.over && u32::from(key.1) < self.deployment.settings.max_attempts && now < open.ends;
         let limit = if give_up_after == 0 { open.ends } else { open.ends.min(now + give_up_after) };
-        let target = self.servers.get(&server).filter(|_| allowed);
+        let target = self.servers.get(server).filter(|_| allowed);
         let Some((address, speech)) = target.map(|s| (s.address, s.speech)) else {
             self.attempts.insert(key, Attempt { server, sent: now, conn: 0 });
             return self.end(key, Status::NotSent);
@@ -442,10 +433,16 @@
         let Some(attempt) = self.attempts.get(&key) else { return };
         // Against a send after a drain or an end: between the module's word and the first byte the attempt
         // waited for its connection, and meanwhile its server may have left or its client gone.
-        let server = self.servers.get(&attempt.server).filter(|s| s.condition == Condition::Ready);
+        let server = self.servers.ready(attempt.server);
         let open = self.open.get(&key.0).filter(|open| !open.over && now < open.ends);
         let (Some(server), Some(open)) = (server, open) else {
-            let address = self.servers.get(&attempt.server).map(|s| s.address);
+            if server.is_none()
+                && let Some(open) = open
+            {
+                let id = String::from_utf8_lossy(&open.command.id);
+                log(&format!("request {id}: attempt {} not written, its server takes no new work", key.1));
+            }
+            let address = self.servers.get(attempt.server).map(|s| s.address);
             self.pool.release(conn, address, now);
             return self.end(key, Status::NotSent);
         };
@@ -465,7 +462,7 @@
         match (news, key) {
             (News::Up, Some(key)) => self.write(key, conn),
             (News::Unsent, Some(key)) => {
-                let server = self.attempts.get(&key).and_then(|attempt| self.servers.get(&attempt.server));
+                let server = self.attempts.get(&key).and_then(|attempt| self.servers.get(attempt.server));
                 self.pool.release(conn, server.map(|s| s.address), self.clock.now());
                 if let Some(client) = self.open.get(&key.0).map(|open| open.client) {
                     self.unsent(key, client);
@@ -473,12 +470,9 @@
             }
             (News::Answer(reply), Some(key)) => {
                 let now = self.clock.now();
+                self.heard_from_server_of(key);
                 let attempt = self.attempts.get(&key);
-                let server = attempt.and_then(|attempt| self.servers.get_mut(&attempt.server));
-                let address = server.map(|s| {
-                    s.heard = now;
-                    s.address
-                });
+                let address = attempt.and_then(|attempt| Some(self.servers.get(attempt.server)?.address));
                 match reply.keep {
                     true => self.pool.release(conn, address, now),
                     false => self.pool.close(conn),
@@ -486,11 +480,7 @@
                 self.end_with(key, reply);
             }
             (News::Spoilt, Some(key)) => {
-                if let Some(attempt) = self.attempts.get(&key)
-                    && let Some(server) = self.servers.get_mut(&attempt.server)
-                {
-                    server.heard = self.clock.now();
-                }
+                self.heard_from_server_of(key);
                 self.pool.close(conn);
                 self.end(key, Status::Spoilt);
             }
@@ -501,6 +491,13 @@
         self.run_events();
     }
 
+    /// The server of an attempt has answered something.
+    fn heard_from_server_of(&mut self, key: AttemptKey) {
+        if let Some(attempt) = self.attempts.get(&key) {
+            self.servers.heard_from(attempt.server, self.clock.now());
+        }
+    }
+
     /// An attempt was not sent since its client has gone.
     fn unsent(&mut self, key: AttemptKey, client: ClientId) {
         self.close_request(key.0);
@@ -518,7 +515,7 @@
         // A kept connection that had ended unseen: the last byte was not written, so nothing was sent, and
         // the same attempt may have a fresh connection. Only once: a fresh one has carried nothing.
         if let Some(attempt) = self.attempts.get_mut(&key).filter(|_| stale)
-            && let Some(server) = self.servers.get(&attempt.server)
+            && let Some(server) = self.servers.get(attempt.server)
             && let Some(conn) = self.pool.open(attempt.server, server.address, server.speech, key)
         {
             attempt.conn = conn;
@@ -533,7 +530,7 @@
         self.pool.close(attempt.conn);
         // Against a machine that vanished: its kept connections stay open and silent, and each would cost
         // a request its whole time. A fresh one tells within the time-out of a connect.
-        if self.servers.get(&attempt.server).is_some_and(|server| server.heard < attempt.sent) {
+        if self.servers.get(attempt.server).is_some_and(|server| server.heard < attempt.sent) {
             self.pool.close_idle(attempt.server);
         }
         self.end(key, status);
@@ -580,46 +577,14 @@
             return; // Older than the list held.
         }
         self.discovery.held(listing.index);
-        let now = self.clock.now();
-        let mut lines: Vec<ServerLine> = Vec::with_capacity(listing.endpoints.len());
-        let place = |names: &[String], name: &String| names.iter().position(|known| known == name);
-        for entry in &listing.endpoints {
-            let condition = match entry.status.as_str() {
-                "active" => Condition::Ready,
-                "left" => Condition::Gone,
-                _ => Condition::Draining,
-            };
-            let id = xxh3_64(entry.name.as_bytes()) as ServerId;
-            let address = entry.address.parse().ok().or_else(|| self.servers.get(&id).map(|s| s.address));
-            let Some(address) = address else { continue };
-            let kind = place(&self.deployment.kinds, &entry.kind).unwrap_or(usize::from(u16::MAX)) as u16;
-            let speech = match self.deployment.settings.origin_kind == Some(kind) {
-                true => Speech::Http,
-                false => Speech::Resp,
-            };
-            // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
-            let started = if entry.since_ms == 0 { 0 } else { entry.since_ms.saturating_mul(1_000).min(now) };
-            let zone = place(&self.deployment.zones, &entry.zone).unwrap_or(255) as u8;
-            let cell = entry.group;
-            lines.push(ServerLine { id, zone, cell, kind, weight: entry.weight, started, condition });
-            let heard = self.servers.get(&id).map_or(0, |server| server.heard);
-            let before = self.servers.insert(id, Server { address, speech, condition, heard });
-            if condition != Condition::Ready || before.is_some_and(|before| before.address != address) {
-                self.pool.close_idle(id);
-            }
+        let changes = self.servers.apply(kind, &listing.endpoints, self.clock.now());
+        let summary = changes.summary();
+        if !summary.is_empty() {
+            log(&format!("server list version {} ({kind:?}): {summary}", listing.index));
         }
-        if kind != ListKind::Delta {
-            let listed: Vec<_> = lines.iter().map(|line| line.id).collect();
-            let gone: Vec<_> = self.servers.keys().filter(|id| !listed.contains(id)).copied().collect();
-            gone.iter().for_each(|id| self.forget(*id));
+        for id in changes.disconnected {
+            self.pool.close_idle(id);
         }
-        let left = lines.iter().filter(|line| line.condition == Condition::Gone).map(|line| line.id);
-        left.collect::<Vec<_>>().into_iter().for_each(|id| self.forget(id));
-        self.tell(Event::ServerList { kind, servers: lines });
-    }
-
-    fn forget(&mut self, id: ServerId) {
-        self.servers.remove(&id);
-        self.pool.close_idle(id);
+        self.tell(Event::ServerList { kind, servers: changes.lines });
     }
 }
--- /dev/null
+++ b/src/bin/spardeal-node/server_table.rs
@@ -0,0 +1,180 @@
+//! The servers that discovery lists: where each is, what is spoken with it, and whether it takes new work. Owns
+//! the translation of discovery's entries into the lines of the decision module. Knows nothing of connections,
+//! nor of the calls that brought the entries.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use spardeal::settings::Deployment;
+use spardeal::{Condition, ListKind, Micros, ServerId, ServerLine};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::discovery::Endpoint;
+use crate::upstreams::Speech;
+
+/// A line of the log names so many servers at most.
+const NAMED_IN_LOG: usize = 8;
+
+/// A listed server.
+pub struct Server {
+    name: Box<str>,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// What is spoken with it.
+    pub speech: Speech,
+    /// Whether it takes new work.
+    pub condition: Condition,
+    /// When it last answered anything.
+    pub heard: Micros,
+}
+
+/// What a list has changed.
+#[derive(Default)]
+pub struct Changes {
+    /// The list for the decision module.
+    pub lines: Vec<ServerLine>,
+    /// Servers to which no idle connection is of use any more.
+    pub disconnected: Vec<ServerId>,
+    /// Servers whose condition is another one than before, by name.
+    transitions: Vec<(Box<str>, Condition)>,
+}
+
+impl Changes {
+    /// The changes of conditions in words, for the log; nothing where there are none.
+    pub fn summary(&self) -> String {
+        let named = self.transitions.iter().take(NAMED_IN_LOG);
+        let mut words: Vec<_> =
+            named.map(|(name, condition)| format!("{name} {}", word(*condition))).collect();
+        match self.transitions.len().saturating_sub(NAMED_IN_LOG) {
+            0 => {}
+            more => words.push(format!("and {more} more")),
+        }
+        words.join(", ")
+    }
+}
+
+fn word(condition: Condition) -> &'static str {
+    match condition {
+        Condition::Ready => "ready",
+        Condition::Draining => "draining",
+        Condition::Gone => "gone",
+    }
+}
+
+/// All servers of the list in force.
+pub struct ServerTable {
+    deployment: Arc<Deployment>,
+    servers: HashMap<ServerId, Server>,
+}
+
+impl ServerTable {
+    /// A table that knows no server yet.
+    pub fn new(deployment: Arc<Deployment>) -> Self {
+        ServerTable { deployment, servers: HashMap::new() }
+    }
+
+    /// A server, if it is listed.
+    pub fn get(&self, id: ServerId) -> Option<&Server> {
+        self.servers.get(&id)
+    }
+
+    /// A server that takes new work.
+    pub fn ready(&self, id: ServerId) -> Option<&Server> {
+        self.get(id).filter(|server| server.condition == Condition::Ready)
+    }
+
+    /// Whether any server takes new work.
+    pub fn any_ready(&self) -> bool {
+        self.servers.values().any(|server| server.condition == Condition::Ready)
+    }
+
+    /// A server has answered something.
+    pub fn heard_from(&mut self, id: ServerId, now: Micros) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.heard = now;
+        }
+    }
+
+    /// Takes over a list or a change of it.
+    pub fn apply(&mut self, kind: ListKind, entries: &[Endpoint], now: Micros) -> Changes {
+        let mut changes = Changes::default();
+        for entry in entries {
+            self.apply_entry(entry, now, &mut changes);
+        }
+        if kind != ListKind::Delta {
+            self.remove_unlisted(&mut changes);
+        }
+        let gone = changes.lines.iter().filter(|line| line.condition == Condition::Gone).map(|line| line.id);
+        for id in gone {
+            self.servers.remove(&id);
+        }
+        changes
+    }
+
+    fn apply_entry(&mut self, entry: &Endpoint, now: Micros, changes: &mut Changes) {
+        let id = server_id(entry);
+        let before = self.servers.get(&id);
+        // An address that can't be read must not keep the rest of the entry from taking effect.
+        let Some(address) = entry.address.parse().ok().or(before.map(|server| server.address)) else {
+            return;
+        };
+        let line = self.line(id, entry, now);
+        let speech = match self.deployment.settings.origin_kind == Some(line.kind) {
+            true => Speech::Http,
+            false => Speech::Resp,
+        };
+        let name = Box::from(entry.name.as_str());
+        if before.map(|server| server.condition) != Some(line.condition) {
+            changes.transitions.push((Box::clone(&name), line.condition));
+        }
+        if line.condition != Condition::Ready || before.is_some_and(|server| server.address != address) {
+            changes.disconnected.push(id);
+        }
+        let heard = before.map_or(0, |server| server.heard);
+        self.servers.insert(id, Server { name, address, speech, condition: line.condition, heard });
+        changes.lines.push(line);
+    }
+
+    fn line(&self, id: ServerId, entry: &Endpoint, now: Micros) -> ServerLine {
+        let place = |names: &[String], name: &String| names.iter().position(|known| known == name);
+        ServerLine {
+            id,
+            zone: place(&self.deployment.zones, &entry.zone).unwrap_or(255) as u8,
+            cell: entry.group,
+            kind: place(&self.deployment.kinds, &entry.kind).unwrap_or(usize::from(u16::MAX)) as u16,
+            weight: entry.weight,
+            // In the module's clock, which is Unix time here; 0 stays 0, and nothing starts in the future.
+            started: match entry.since_ms {
+                0 => 0,
+                since_ms => since_ms.saturating_mul(1_000).min(now),
+            },
+            condition: condition(entry),
+        }
+    }
+
+    /// A server that a whole list does not name has been removed.
+    fn remove_unlisted(&mut self, changes: &mut Changes) {
+        let listed: HashSet<_> = changes.lines.iter().map(|line| line.id).collect();
+        self.servers.retain(|id, server| {
+            let keep = listed.contains(id);
+            if !keep {
+                changes.disconnected.push(*id);
+                changes.transitions.push((std::mem::take(&mut server.name), Condition::Gone));
+            }
+            keep
+        });
+    }
+}
+
+fn server_id(entry: &Endpoint) -> ServerId {
+    xxh3_64(entry.name.as_bytes()) as ServerId
+}
+
+fn condition(entry: &Endpoint) -> Condition {
+    match entry.status.as_str() {
+        "active" => Condition::Ready,
+        "left" => Condition::Gone,
+        _ => Condition::Draining,
+    }
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,11 +5,13 @@
 //! outstanding cap and a windowed tally; a call that finds the gate shut is postponed by a random delay.
 //! All else here is a departure for a failure that the code names.
 
+mod admission;
 mod calls;
 mod cold;
 
 use crate::interface::*;
 use crate::state::*;
+use admission::{HIGHEST_LEVEL, INITIAL_LEVEL};
 
 /// Load bound: a server is skipped from this multiple of its part of the attempts in flight, of this
 /// balancer's or, by what servers report, of all: the first where the origin has room for the fetch that a
@@ -52,22 +54,6 @@
 const ASIDE: (u64, u64) = (1, 8);
 /// Repeats of what may have run, and second copies, as a part of the requests, and how many at once.
 const REPEATS: (f64, f64) = (0.05, 5.0);
-/// Signs of overload in each attempt (turned away or nearly late is one, slow a half) from which tenants are
-/// held closer to their quotas, and even below them.
-const STRAIN: (f64, f64) = (0.06, 0.55);
-/// Servers that report to be busy for less than this part of their time, all in all, have room for what
-/// quotas allow and more: what is slow then is slow at single servers.
-const ROOM: f64 = 0.7;
-/// Multiple of the quotas that fills the buckets: lowest (a jammed fleet heals half idle), at start, highest.
-const LEVEL: (f64, f64, f64) = (0.25, 1.0, 4.0);
-/// Steps of the level at a review, whole from so many attempts judged: one of many balancers sees few.
-const LEVEL_STEPS: (f64, f64, f64) = (0.92, 1.04, 5.0);
-/// Tokens that a bucket holds beyond an aim's worth, against chance in who reaches which balancer.
-const BURST: f64 = 5.0;
-/// Part of the quotas that tenants may use in common: those within their quotas leave about the rest unused.
-const POOL: f64 = 0.8;
-/// What a review keeps of the counts before it, while more than this many are left to judge by.
-const FADE: (f64, f64) = (0.85, 10.0);
 /// A key is hot that was asked for before among so many requests here: a part of all, whatever N is. What a
 /// key brings is judged by as many, or as many as there are servers.
 const HOT: usize = 64;
@@ -83,7 +69,7 @@
             origin_aim: aims.min().unwrap_or(1_000_000),
             senders: vec![Bucket::default(); settings.tenants.len().max(1)],
             rng: Random::new(seed),
-            level: LEVEL.1,
+            level: INITIAL_LEVEL,
             // Held by all balancers, a connection costs more than it saves: whatever the traffic, the price
             // of keeping one open grows with their number and the price of opening it again does not.
             crowded: f64::from(settings.balancers) * settings.connection_price
@@ -176,27 +162,6 @@
         self.step(r.id, out);
     }
 
-    /// A tenant's token bucket fills with this balancer's part of its quota, times the level, so that those
-    /// furthest over are turned away first. A rate measured from the handful that one of many balancers sees
-    /// would turn away those within their quotas.
-    fn admit(&mut self, h: &mut Held, tenant: usize) -> bool {
-        let Some(sender) = self.senders.get_mut(tenant) else { return true };
-        // While all together ask for less than their quotas, chance in a small bucket turns none away.
-        // A falling level empties the buckets too: what many hold back would keep a jam going for long.
-        let burst = (BURST * self.level).clamp(1.0, BURST);
-        let pooled = self.pool.fill(self.now, POOL * self.quota_share * self.level, burst);
-        let quota = self.settings.tenants.get(tenant).map_or(f64::INFINITY, |t| t.quota_per_s);
-        let part = self.level * quota / f64::from(self.settings.balancers.max(1));
-        let room = sender.fill(self.now, part, burst + part * self.aim as f64 / 1e6);
-        let admitted = room || pooled || self.level >= LEVEL.2;
-        if admitted {
-            sender.take();
-            self.pool.take();
-            h.charged = Some(tenant);
-        }
-        admitted
-    }
-
     /// Chooses and makes the next call of a request that has none out.
     fn step(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id) else { return };
@@ -243,7 +208,7 @@
         let share = (unit_hash(id, 0, 3) * self.fills(key) / multiple) as usize;
         let best = order.get(share.min(open.saturating_sub(1)));
         // Passing over a full server for one far down the order would scatter the keys and empty the caches.
-        let backlog = |s: &Server| if self.level < LEVEL.2 { self.backlog(s) } else { 0.0 };
+        let backlog = |s: &Server| if self.level < HIGHEST_LEVEL { self.backlog(s) } else { 0.0 };
         let full = |s: &Server| self.queue(id, s).max(backlog(s)) > left * FULL;
         best.map(|(.., server)| *server).filter(|server| !full(&self.servers[server]))
     }
@@ -772,7 +737,7 @@
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(h) = self.held.get(&id) else { return };
         // A quota is of answers: what was not served is given back, else one held to its quota gets less.
-        let charged = h.charged.filter(|_| self.level >= LEVEL.1);
+        let charged = h.charged.filter(|_| self.level >= INITIAL_LEVEL);
         charged.and_then(|tenant| self.senders.get_mut(tenant)).into_iter().for_each(Bucket::give_back);
         let (class, harmless) = (h.class, h.may_have_run.is_empty());
         // A refused client is told to come back after the delay of a blocked call, random as that is: told to
@@ -820,30 +785,4 @@
         self.servers.retain(|_, s| s.line.condition != Condition::Gone || s.in_flight > 0);
         self.total = self.ready(false).map(|s| self.weight(s)).sum::<f64>().max(0.01);
     }
-
-    // Now and then.
-
-    /// Moves the level that tenants are held to, by the strain seen lately. An equal part of a quota is a
-    /// guess, and some of many balancers see several times the mean: none is held to it while there is room.
-    fn review(&mut self, out: &mut Vec<Action>) {
-        let period = (self.aim / 8).max(self.settings.tick).max(1);
-        let was = self.level;
-        let strain = self.strain.value();
-        let room = self.sees_little() && strain <= STRAIN.1 && self.busy.value() < ROOM;
-        let hold = strain > STRAIN.0 && strain <= STRAIN.1 && !room;
-        let floor = if strain > STRAIN.1 { LEVEL.0 } else { LEVEL.1 };
-        // It hastens in a jam, which grows by itself, and where few or no requests are left to judge by.
-        let haste = strain > STRAIN.1 || was < LEVEL.1 || room || (self.cache_out == 0 && strain <= 0.0);
-        let part = if haste { 1.0 } else { (self.strain.fresh / LEVEL_STEPS.2).min(1.0) };
-        self.level = match strain > STRAIN.1 || (hold && was > LEVEL.1) {
-            true => (was * LEVEL_STEPS.0.powf(part)).max(floor),
-            false => (was * LEVEL_STEPS.1.powf(part)).min(if hold { LEVEL.1 } else { LEVEL.2 }),
-        };
-        log_crossing(out, was, self.level, LEVEL.2, "shedding over quota has begun", "shedding has ended");
-        self.strain.fade(FADE.0, FADE.1);
-        self.gate.pressed.fade(FADE.0, FADE.1);
-        self.busy.fade(FADE.0, FADE.1);
-        self.admitted.roll(period);
-        self.wake(period, Wake::Review);
-    }
 }
--- /dev/null
+++ b/src/brain/admission.rs
@@ -0,0 +1,93 @@
+//! Admission by tenant: how many requests of each tenant are taken in, from token buckets whose rate follows
+//! the overload signal of the attempts. Owns the level of those buckets; must not know where requests go.
+
+use crate::interface::*;
+use crate::state::*;
+
+/// Overload signals in each attempt (turned away or nearly late is one, slow a half) from which tenants are
+/// held closer to their quotas.
+const HOLD_FROM: f64 = 0.06;
+/// Overload signals in each attempt from which tenants are held even below their quotas.
+const JAMMED_FROM: f64 = 0.55;
+/// Servers that report to be busy for less than this part of their time, all in all, have room for what
+/// quotas allow and more: what is slow then is slow at single servers.
+const ROOM: f64 = 0.7;
+/// Least multiple of the quotas that fills the buckets: a jammed fleet heals half idle.
+const LOWEST_LEVEL: f64 = 0.25;
+/// Multiple of the quotas that fills the buckets at the start.
+pub(super) const INITIAL_LEVEL: f64 = 1.0;
+/// Greatest multiple of the quotas that fills the buckets; at this level nobody is held back.
+pub(super) const HIGHEST_LEVEL: f64 = 4.0;
+/// Factors on the level at a review, downwards and upwards.
+const LEVEL_STEPS: (f64, f64) = (0.92, 1.04);
+/// A step is whole from so many attempts judged: one of many balancers sees few.
+const WHOLE_STEP_FROM: f64 = 5.0;
+/// Tokens that a bucket holds beyond an aim's worth, against chance in who reaches which balancer.
+const BURST: f64 = 5.0;
+/// Part of the quotas that tenants may use in common: those within their quotas leave about the rest unused.
+const POOL: f64 = 0.8;
+/// What a review keeps of the counts before it, while more than this many are left to judge by.
+const FADE: (f64, f64) = (0.85, 10.0);
+/// Shedding is logged no more often than this. Around its mark the level may cross many times a minute, and a
+/// line for each would hide all others.
+const SHEDDING_LOG_PERIOD: Micros = 30_000_000;
+
+impl Policy {
+    /// A tenant's token bucket fills with this balancer's part of its quota, times the level, so that those
+    /// furthest over are turned away first. A rate measured from the handful that one of many balancers sees
+    /// would turn away those within their quotas.
+    pub(super) fn admit(&mut self, h: &mut Held, tenant: usize) -> bool {
+        let Some(sender) = self.senders.get_mut(tenant) else { return true };
+        // While all together ask for less than their quotas, chance in a small bucket turns none away.
+        // A falling level empties the buckets too: what many hold back would keep a jam going for long.
+        let burst = (BURST * self.level).clamp(1.0, BURST);
+        let pooled = self.pool.fill(self.now, POOL * self.quota_share * self.level, burst);
+        let quota = self.settings.tenants.get(tenant).map_or(f64::INFINITY, |t| t.quota_per_s);
+        let part = self.level * quota / f64::from(self.settings.balancers.max(1));
+        let room = sender.fill(self.now, part, burst + part * self.aim as f64 / 1e6);
+        let admitted = room || pooled || self.level >= HIGHEST_LEVEL;
+        if admitted {
+            sender.take();
+            self.pool.take();
+            h.charged = Some(tenant);
+        }
+        admitted
+    }
+
+    /// Logs that shedding over quota has begun.
+    fn log_shedding(&mut self, level_before: f64, out: &mut Vec<Action>) {
+        let begins = level_before >= HIGHEST_LEVEL && self.level < HIGHEST_LEVEL;
+        if begins && self.now >= self.shedding_quiet_until {
+            self.shedding_quiet_until = self.now + SHEDDING_LOG_PERIOD;
+            out.push(Action::Log("shedding over quota has begun".into()));
+        }
+    }
+
+    /// Moves the level that tenants are held to, by the overload seen lately. An equal part of a quota is a
+    /// guess, and some of many balancers see several times the mean: none is held to it while there is room.
+    pub(super) fn review(&mut self, out: &mut Vec<Action>) {
+        let period = (self.aim / 8).max(self.settings.tick).max(1);
+        let was = self.level;
+        let overload = self.strain.value();
+        let jammed = overload > JAMMED_FROM;
+        let room = self.sees_little() && !jammed && self.busy.value() < ROOM;
+        let hold = overload > HOLD_FROM && !jammed && !room;
+        let floor = if jammed { LOWEST_LEVEL } else { INITIAL_LEVEL };
+        // It hastens in a jam, which grows by itself, and where few or no requests are left to judge by.
+        let haste = jammed || was < INITIAL_LEVEL || room || (self.cache_out == 0 && overload <= 0.0);
+        let part = if haste { 1.0 } else { (self.strain.fresh / WHOLE_STEP_FROM).min(1.0) };
+        self.level = match jammed || (hold && was > INITIAL_LEVEL) {
+            true => (was * LEVEL_STEPS.0.powf(part)).max(floor),
+            false => {
+                let ceiling = if hold { INITIAL_LEVEL } else { HIGHEST_LEVEL };
+                (was * LEVEL_STEPS.1.powf(part)).min(ceiling)
+            }
+        };
+        self.log_shedding(was, out);
+        self.strain.fade(FADE.0, FADE.1);
+        self.gate.pressed.fade(FADE.0, FADE.1);
+        self.busy.fade(FADE.0, FADE.1);
+        self.admitted.roll(period);
+        self.wake(period, Wake::Review);
+    }
+}
