Failing tests: a drain is learnt of too late after an outage while discovery moves

Cause: not yet changed. A node that was turned away several times in an outage of discovery pauses for up to 4.5 s after each further refusal, whatever happened meanwhile (see the opening of the tests).

--- /dev/null
+++ b/tests/discovery_moves.rs
@@ -0,0 +1,151 @@
+//! When each balancer of a small fleet knows of a drain, while its discovery was down before, is crowded and moves.
+//!
+//! Servers began to drain 1.6 s after the return of discovery, and from 0.8 s later on it moved four times for each of
+//! six nodes. Reads went to the draining servers after the grace. Calls that had failed in the outage made the pauses
+//! of later ones longer, up to 4.5 s, and a discovery that takes 263 ms for a call turns some away when six nodes call
+//! within half a second: one such refusal at the wrong time, and the next call came when the drain had long counted as
+//! told. Played here with the figures of that day, the last node knew up to 8.3 s too late, in 19 of 50 plays.
+#![allow(missing_docs)]
+
+mod common;
+
+use common::*;
+use spardeal::*;
+
+/// Balancers of the fleet.
+const FLEET: u32 = 6;
+/// When the watches break, and discovery is down.
+const DOWN: Micros = 100 * SECOND;
+/// Configurations reach one balancer after the other, so far apart.
+const APART: Micros = 400 * MS;
+/// Each balancer gets its configurations so long after its first.
+const MOVES: [Micros; 4] = [0, 300 * MS, 700 * MS, 1_600 * MS];
+/// Where discovery was before a move its connections stay open for so long.
+const STAYS_OPEN: Micros = 1_500 * MS;
+/// What discovery has counts as told so long after it could be asked for it, and after a signal.
+const TOLD_AFTER: Micros = 6 * SECOND;
+const TOLD_AFTER_SIGNAL: Micros = 4 * SECOND;
+/// Sends to a draining server must have stopped so long after that.
+const GRACE: Micros = SECOND;
+
+/// Discovery, one service at whatever address: calls are served in turn, and one that waits for too long is turned
+/// away and costs as much.
+struct Discovery {
+    service: Micros,
+    limit: Micros,
+    back: Micros,
+    busy_until: Micros,
+}
+
+impl Discovery {
+    /// When a call ends, and whether it is served.
+    fn call(&mut self, now: Micros) -> (Micros, bool) {
+        if now < self.back {
+            return (now + self.limit, false);
+        }
+        let begins = self.busy_until.max(now);
+        self.busy_until = begins + self.service;
+        if begins > now + self.limit { (now + self.limit, false) } else { (self.busy_until, true) }
+    }
+}
+
+struct Call {
+    begun: Micros,
+    ends: Micros,
+    served: bool,
+    /// When its address was given up, if it was.
+    moved: Option<Micros>,
+}
+
+struct Balancer {
+    node: Node,
+    moves: Vec<Micros>,
+    /// The call whose answer is in force, or the watch that it became.
+    current: Option<Call>,
+    /// Calls that it has replaced.
+    former: Vec<Call>,
+    /// When it was told of the drain.
+    told: Option<Micros>,
+}
+
+impl Balancer {
+    fn start(me: u32, seed: u64, first_move: Micros) -> Balancer {
+        let config = Settings { balancers: FLEET, me, ask_discovery: true, ..settings() };
+        let policy = Policy::new(config, seed * u64::from(FLEET) + u64::from(me) + 1);
+        let mut node = Node::of(policy, vec![server(1), origin()]);
+        node.pass(SECOND);
+        node.list(ListKind::Full, vec![server(1), origin()]);
+        node.pass(DOWN - node.now);
+        node.actions.clear();
+        node.event(Event::DiscoveryFailed { failure: CallFailure::Failed, unheard: 0 });
+        let moves = MOVES.map(|after| first_move + after).to_vec();
+        Balancer { node, moves, current: None, former: Vec::new(), told: None }
+    }
+
+    /// Lets time pass until an instant, at which servers have been draining since another.
+    fn pass(&mut self, now: Micros, drains: Micros, discovery: &mut Discovery) {
+        if self.node.pass(now - self.node.now).contains(&Action::Subscribe(true)) {
+            self.former.extend(self.current.take());
+            let (ends, served) = discovery.call(now);
+            self.current = Some(Call { begun: now, ends, served, moved: None });
+        }
+        self.node.actions.clear();
+        if self.moves.first().is_some_and(|at| *at <= now) {
+            self.moves.remove(0);
+            self.current.iter_mut().for_each(|call| call.moved = Some(now));
+            self.node.event(Event::DiscoveryMoved);
+        }
+        let open = |call: &Call| call.moved.is_none_or(|at| now < at + STAYS_OPEN);
+        self.former.retain(open);
+        let tells = |call: &Call| call.served && call.ends <= now && open(call) && now >= drains;
+        if self.told.is_none() && self.former.iter().chain(&self.current).any(tells) {
+            self.told = Some(now);
+        }
+        let Some(call) = self.current.as_ref().filter(|call| call.ends == now) else { return };
+        if call.served && open(call) {
+            self.node.list(ListKind::Full, vec![server(1), origin()]);
+        } else if call.moved.is_none() {
+            let unheard = now - call.begun;
+            self.current = None;
+            self.node.event(Event::DiscoveryFailed { failure: CallFailure::Failed, unheard });
+        }
+    }
+}
+
+/// By how much the balancer that is told last is told too late; 0 if all are told in time.
+fn late(seed: u64, outage: Micros, service: Micros) -> Micros {
+    let back = DOWN + outage;
+    let drains = back + 1_600 * MS;
+    let first_move = |me: u32| drains + 800 * MS + u64::from(me) * APART;
+    let mut discovery = Discovery { service, limit: SECOND, back, busy_until: 0 };
+    let mut fleet: Vec<_> = (0..FLEET).map(|me| Balancer::start(me, seed, first_move(me))).collect();
+    let mut now = DOWN;
+    while fleet.iter().any(|balancer| balancer.told.is_none()) && now < drains + 60 * SECOND {
+        now += MS;
+        fleet.iter_mut().for_each(|balancer| balancer.pass(now, drains, &mut discovery));
+    }
+    let late = |(me, balancer): (usize, &Balancer)| {
+        let counts = (drains + TOLD_AFTER).min(first_move(me as u32) + TOLD_AFTER_SIGNAL);
+        balancer.told.unwrap_or(now).saturating_sub(counts + GRACE)
+    };
+    fleet.iter().enumerate().map(late).max().unwrap()
+}
+
+#[test]
+fn a_drain_is_known_in_time_after_an_outage_while_discovery_is_crowded_and_moves_again_and_again() {
+    let mut failures = Vec::new();
+    for outage in [6_500 * MS, 14_600 * MS] {
+        for service in [50 * MS, 150 * MS, 263 * MS] {
+            let late: Vec<_> =
+                (0..50).map(|seed| late(seed, outage, service)).filter(|late| *late > 0).collect();
+            if let Some(worst) = late.iter().max() {
+                let (outage, service, worst) = (outage / MS, service / MS, worst / MS);
+                failures.push(format!(
+                    "{} of 50 late by up to {worst} ms: outage {outage} ms, a call {service} ms",
+                    late.len()
+                ));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
--- /dev/null
+++ b/tests/node/drain.rs
@@ -0,0 +1,139 @@
+//! News of a drain that is slow to come: what a node must do so that no request is sent to a server after the grace.
+
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use crate::stand_in::*;
+use crate::{no_origin, trio};
+
+/// What discovery does on a connection, one step after the other. The connection stays open behind the last.
+pub enum Step {
+    Wait(Duration),
+    Say(Vec<u8>),
+    /// Ends the connection.
+    Close,
+}
+
+/// Discovery that plays a script for each call. It tells of each call as it comes.
+pub fn scripted(scripts: Vec<Vec<Step>>) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (tell, calls) = channel();
+    std::thread::spawn(move || {
+        for (script, stream) in scripts.into_iter().zip(listener.incoming().flatten()) {
+            let tell = tell.clone();
+            std::thread::spawn(move || play(script, stream, &tell));
+        }
+        // Later calls are taken and never answered.
+        listener.incoming().flatten().for_each(std::mem::forget);
+    });
+    (address, calls)
+}
+
+fn play(script: Vec<Step>, mut stream: TcpStream, tell: &Sender<String>) {
+    let mut input = BufReader::new(stream.try_clone().unwrap());
+    let request = read_http(&mut input).unwrap_or_default();
+    let _ = tell.send(request.first().cloned().unwrap_or_default());
+    for step in script {
+        match step {
+            Step::Wait(time) => std::thread::sleep(time),
+            Step::Say(bytes) => drop(stream.write_all(&bytes)),
+            Step::Close => drop(stream.shutdown(Shutdown::Both)),
+        }
+    }
+    // Until the node ends it.
+    while read_http(&mut input).is_some() {}
+}
+
+fn refusal() -> Step {
+    Step::Say(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_vec())
+}
+
+/// Settings of a fleet of six whose servers may be sent to for a second after they began to drain.
+fn fleet_of_six() -> String {
+    let settings = settings().replace(r#""balancers":1"#, r#""balancers":6"#);
+    settings.replace(
+        r#""askWithinUs":1000000,"drainGraceUs":500000"#,
+        r#""askWithinUs":10000000,"drainGraceUs":1000000"#,
+    )
+}
+
+/// Two cache servers and an origin behind a node.
+struct Fleet {
+    first: StandIn,
+    second: StandIn,
+    origin: StandIn,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let (first, second) = (cache(|_| Act::Say(hit("first"))), cache(|_| Act::Say(hit("second"))));
+        Fleet { first, second, origin: no_origin() }
+    }
+
+    /// The list as all know it at first.
+    fn known(&self) -> String {
+        trio([self.first.address, self.second.address], self.origin.address)
+    }
+
+    fn start(&self, discovery: SocketAddr) -> Node {
+        Node::start_in(discovery, &self.known(), (256, 16), "", &fleet_of_six())
+    }
+
+    /// The whole list once the first server drains.
+    fn draining(&self) -> String {
+        let entries = [
+            entry("s-1", self.first.address, "std", "leaving"),
+            entry("s-2", self.second.address, "std", "active"),
+            entry("o-1", self.origin.address, "origin", "active"),
+        ];
+        listing(6, true, &entries)
+    }
+}
+
+/// How many of many keys are still read from the first server.
+fn read_from_first(node: &Node) -> usize {
+    let mut client = node.client();
+    let mut read = |key: u32| client.ask(&get(&format!("{key:x}"), "1")).unwrap();
+    (0..40).filter(|key| read(*key) == "first").count()
+}
+
+/// Lets requests go on until some time after an instant.
+fn serve_until(node: &Node, since: Instant, after: Duration) {
+    while since.elapsed() < after {
+        read_from_first(node);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+// On a day of six nodes discovery was down for 15 s, and servers began to drain just after its return, while new
+// configurations moved discovery four times within 1.6 s for each node. Reads went to the draining servers for longer
+// than the grace. A node that had been turned away four times paused for eight times as long as after the first,
+// whatever had happened meanwhile: discovery had moved, and was only crowded now. Two lines of a node's log show
+// the pause, during which the drain was told to all others:
+//
+//     7.911 discovery turned a call away, or the watch broke: asking again in 4499 ms
+//     12.689 server list version 1 (Full): s-4b589698 draining, s-53a634b0 draining, s-9bafd031 draining
+//
+// What discovery has counts as told 4 s after the signal, and 6 s after it was there to be asked for. One refusal
+// more at 12.4 s would have been one too many.
+#[test]
+fn a_node_that_was_turned_away_in_an_outage_learns_of_a_drain_in_time_after_a_move() {
+    let fleet = Fleet::new();
+    let outage = (0..8).map(|_| vec![refusal(), Step::Close]).collect();
+    let (old, calls) = scripted(outage);
+    let node = fleet.start(old);
+    for _ in 0..3 {
+        calls.recv_timeout(LONG).expect("a call");
+    }
+    assert!(read_from_first(&node) > 0, "both servers are known");
+    let crowded = || vec![Step::Wait(Duration::from_millis(900)), refusal(), Step::Close];
+    let served = vec![Step::Say([watch_head(), chunk(&fleet.draining())].concat())];
+    let (new, _calls) = scripted(vec![crowded(), crowded(), served]);
+    let signal = Instant::now();
+    node.reload(Ok(new));
+    serve_until(&node, signal, Duration::from_millis(5_050));
+    assert_eq!(read_from_first(&node), 0, "reads that go to a draining server 5.05 s after the signal");
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -3,6 +3,7 @@
 
 mod crowd;
 mod discovery;
+mod drain;
 mod leaving;
 mod stand_in;
 
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -192,7 +192,7 @@
 }
 
 /// Reads an HTTP request: its first line, its headers, its body.
-fn read_http(input: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
+pub fn read_http(input: &mut BufReader<TcpStream>) -> Option<Vec<String>> {
     let mut words = vec![line(input)?];
     let mut length = 0;
     loop {
