Keep a watch open until the call that replaces it is answered, and take drains from it

Cause: Discovery::turn broke off the watch, or the call in line, as the next call began. What discovery wrote to it from then on was lost, and the new call may wait in line or be turned away.

Change: calls have ids; one that is replaced goes on until the new one is answered (three at most, within the reserve of descriptors). From its lists only servers that drain, left or are missing in a whole list are taken, unless the entry is of an earlier process: versions and views of a former discovery are not in force. Where lists are pushed it is the same, and a replaced watch is not opened again. discovery.rs is split: which calls are out, one call, the form of lists.

--- /dev/null
+++ b/src/bin/spardeal-node/discovery/call.rs
@@ -0,0 +1,265 @@
+//! One call to discovery: makes it, and reports what it brings until it ends. Knows nothing of other calls.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use spardeal::CallFailure;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::list::{self, Malformed};
+use super::{CallId, CallNews};
+use crate::http::{self, Chunks};
+use crate::log;
+use crate::node::Input;
+
+const CONNECT: Duration = Duration::from_secs(1);
+/// Calls wait in turn at discovery: it is given this long to begin its answer. What it has to tell counts as
+/// told six seconds after it fell silent, and the call after a silence may be silent too: with these two limits
+/// there is time for a third.
+const ANSWER: Duration = Duration::from_millis(2_500);
+/// A watch brings a line every two seconds: one that is silent for longer is dead.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// Answers are read in pieces of this size.
+const PIECE: usize = 16 * 1024;
+/// The longest list.
+const MAX_LIST: usize = 4 * 1024 * 1024;
+
+/// Why a call to discovery ended.
+enum CallError {
+    /// No connection came about: discovery never took it.
+    Unreachable(std::io::Error),
+    /// It broke.
+    Io(std::io::Error),
+    /// It was silent for too long.
+    Silent,
+    /// It was turned away.
+    Status(u16),
+    /// It brought what is no list; the list held stays in force.
+    Malformed,
+}
+
+impl std::fmt::Display for CallError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            CallError::Unreachable(e) => write!(f, "no connection: {e}"),
+            CallError::Io(e) => write!(f, "{e}"),
+            CallError::Silent => write!(f, "silent for too long"),
+            CallError::Status(status) => write!(f, "answered with status {status}"),
+            CallError::Malformed => write!(f, "brought no list, or one that was cut off"),
+        }
+    }
+}
+
+impl CallError {
+    fn failure(&self) -> CallFailure {
+        match self {
+            CallError::Unreachable(_) => CallFailure::Unreachable,
+            CallError::Silent => CallFailure::Silent,
+            CallError::Io(_) | CallError::Status(_) | CallError::Malformed => CallFailure::Failed,
+        }
+    }
+}
+
+impl From<std::io::Error> for CallError {
+    fn from(e: std::io::Error) -> Self {
+        CallError::Io(e)
+    }
+}
+
+impl From<http::Malformed> for CallError {
+    fn from(_: http::Malformed) -> Self {
+        CallError::Malformed
+    }
+}
+
+impl From<Malformed> for CallError {
+    fn from(_: Malformed) -> Self {
+        CallError::Malformed
+    }
+}
+
+/// A call, and where its news goes.
+pub struct Call {
+    id: CallId,
+    address: SocketAddr,
+    events: mpsc::Sender<Input>,
+    /// Until when all that discovery had to tell has been heard.
+    heard: Instant,
+    /// Whether anything has been heard.
+    answered: bool,
+}
+
+impl Call {
+    /// A call that begins now.
+    pub fn new(id: CallId, address: SocketAddr, events: mpsc::Sender<Input>) -> Self {
+        Call { id, address, events, heard: Instant::now(), answered: false }
+    }
+
+    /// Opens a watch on what changes after a version, and reports how it ended.
+    pub async fn watch(mut self, index: &AtomicU64) {
+        let ended = self.stream(&watch_path(index)).await;
+        self.report_end(ended).await;
+    }
+
+    /// Opens a watch and reports nothing of its end, which is logged only if it brought something.
+    pub async fn watch_quietly(mut self, index: &AtomicU64) {
+        let ended = self.stream(&watch_path(index)).await;
+        if let Err(e) = ended
+            && self.answered
+        {
+            log(&format!("discovery: {e}"));
+        }
+    }
+
+    /// Asks for the whole list once.
+    pub async fn fetch(mut self) {
+        let ended = self.stream("/v1/servers").await;
+        if ended.is_err() {
+            self.report_end(ended).await;
+        }
+    }
+
+    async fn report(&self, news: CallNews) {
+        let _ = self.events.send(Input::Discovery(self.id, news)).await;
+    }
+
+    /// Logs how the call ended, and tells as much as matters for the next.
+    async fn report_end(&self, ended: Result<(), CallError>) {
+        match &ended {
+            Ok(()) => log("discovery: the watch has ended"),
+            Err(e) => log(&format!("discovery: {e}")),
+        }
+        let failure = ended.err().map_or(CallFailure::Failed, |e| e.failure());
+        self.report(CallNews::Failed { failure, unheard: self.heard.elapsed() }).await;
+    }
+
+    /// Makes the call and reports each list of its answer, until that ends.
+    async fn stream(&mut self, path: &str) -> Result<(), CallError> {
+        let begun = Instant::now();
+        let mut stream = self.connect(path).await?;
+        let mut raw = BytesMut::new();
+        let head = read_head(&mut stream, &mut raw).await?;
+        if head.status != 200 {
+            return Err(CallError::Status(head.status));
+        }
+        log(&format!("discovery: {} answers after {} ms", self.address, begun.elapsed().as_millis()));
+        let mut body = Body { left: head.content_length.unwrap_or(usize::MAX), ..Body::default() };
+        body.chunks = head.chunked.then(Chunks::default);
+        self.read_lists(&mut stream, &mut raw, &mut body).await
+    }
+
+    async fn connect(&self, path: &str) -> Result<TcpStream, CallError> {
+        let address = self.address;
+        log(&format!("discovery: calling {address}{path}"));
+        let connect = async { timeout(CONNECT, TcpStream::connect(address)).await? };
+        let mut stream = connect.await.map_err(CallError::Unreachable)?;
+        let _ = stream.set_nodelay(true);
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
+        stream.write_all(request.as_bytes()).await?;
+        Ok(stream)
+    }
+
+    async fn read_lists(
+        &mut self,
+        stream: &mut TcpStream,
+        raw: &mut BytesMut,
+        body: &mut Body,
+    ) -> Result<(), CallError> {
+        // All limits are points in time: what trickles in moves none of them.
+        let mut by = Instant::now() + SILENCE;
+        loop {
+            body.take(raw)?;
+            if (body.ended || body.content.contains(&b'\n')) && self.report_lists(&mut body.content).await? {
+                by = self.heard + SILENCE;
+            }
+            if body.ended {
+                // What is left over is a list that was cut off.
+                return if body.content.is_empty() { Ok(()) } else { Err(CallError::Malformed) };
+            }
+            if body.content.len() > MAX_LIST {
+                return Err(CallError::Malformed);
+            }
+            raw.reserve(PIECE);
+            let read = timeout_at(by, stream.read_buf(raw)).await.map_err(|_| CallError::Silent)?;
+            if !matches!(read, Ok(count) if count > 0) {
+                if self.answered && body.content.is_empty() {
+                    // Between two lists: up to the break there was no more to tell.
+                    self.heard = Instant::now();
+                }
+                read?;
+                return Err(CallError::Malformed);
+            }
+        }
+    }
+
+    /// Reports the lists that are whole; tells whether there was one, or an empty line.
+    async fn report_lists(&mut self, content: &mut BytesMut) -> Result<bool, CallError> {
+        let taken = list::take(content)?;
+        for list in taken.lists {
+            self.report(CallNews::List(list)).await;
+        }
+        if taken.heard {
+            self.heard = Instant::now();
+            if !std::mem::replace(&mut self.answered, true) {
+                self.report(CallNews::Answered).await;
+            }
+        }
+        Ok(taken.heard)
+    }
+}
+
+fn watch_path(index: &AtomicU64) -> String {
+    match index.load(Ordering::Relaxed) {
+        0 => "/v1/servers?watch=1".into(),
+        held => format!("/v1/servers?watch=1&after={held}"),
+    }
+}
+
+/// Reads until the head of the answer is whole, and takes it off what was read.
+async fn read_head(stream: &mut TcpStream, raw: &mut BytesMut) -> Result<http::Head, CallError> {
+    let by = Instant::now() + ANSWER;
+    loop {
+        raw.reserve(PIECE);
+        let count = timeout_at(by, stream.read_buf(raw)).await.map_err(|_| CallError::Silent)??;
+        if let Some(head) = http::head(raw)? {
+            let _ = raw.split_to(head.length);
+            return Ok(head);
+        }
+        if count == 0 {
+            return Err(CallError::Malformed);
+        }
+    }
+}
+
+/// The body of an answer.
+#[derive(Default)]
+struct Body {
+    /// Its content, as far as it was not taken for a list.
+    content: BytesMut,
+    /// Takes the chunks apart, where it comes in such.
+    chunks: Option<Chunks>,
+    /// What is still to come of a stated length.
+    left: usize,
+    /// Nothing more belongs to it.
+    ended: bool,
+}
+
+impl Body {
+    /// Takes what belongs to it off what was read.
+    fn take(&mut self, raw: &mut BytesMut) -> Result<(), http::Malformed> {
+        if let Some(chunks) = &mut self.chunks {
+            self.ended |= chunks.take(raw, &mut self.content)?;
+        } else {
+            let part = raw.split_to(raw.len().min(self.left));
+            self.left -= part.len();
+            self.content.extend_from_slice(&part);
+            self.ended |= self.left == 0;
+        }
+        Ok(())
+    }
+}
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -9,17 +9,16 @@
 use bytes::{Bytes, BytesMut};
 use spardeal::settings::Deployment;
 use spardeal::{
-    Action, CallFailure, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId, ServerId,
-    Status,
+    Action, Event, ListKind, Load, Micros, Note, Outcome, Policy, Request, RequestId, ServerId, Status,
 };
 use tokio::sync::{mpsc, watch};
 
 use crate::clients::{Answer, Asked, Command, Phase};
 use crate::config::Config;
-use crate::discovery::{Discovery, Era, Listing};
+use crate::discovery::{CallId, CallNews, Discovery, Listing, Standing};
 use crate::memory::{Memory, Share};
 use crate::places::{ClientId, Places};
-use crate::server_table::ServerTable;
+use crate::server_table::{Changes, ServerTable};
 use crate::socket::Presence;
 use crate::upstreams::{AttemptKey, ConnId, News, Pool, Reply, Speech};
 use crate::{caches, log, origin, resp};
@@ -33,10 +32,8 @@
     ClientGone(ClientId),
     /// News of a connection to a server.
     Conn(ConnId, News),
-    /// Discovery has sent a list or a change.
-    List(Era, Listing),
-    /// A call to discovery failed or the watch ended, and for how long nothing had been heard.
-    ListFailed(Era, CallFailure, Duration),
+    /// News of a call to discovery.
+    Discovery(CallId, CallNews),
     /// The table of sockets is full, and a client wants a place.
     Crowded,
     /// The configuration was read anew.
@@ -224,17 +221,9 @@
                 self.run_events();
             }
             Input::Conn(conn, news) => self.conn(conn, news),
-            // Against what the discovery before the present one still had under way: its versions and its view
-            // are no longer in force.
-            Input::List(era, _) | Input::ListFailed(era, ..) if !self.discovery.present(era) => {}
-            // The old one ends its watches, and the call to the new one is under way.
-            Input::ListFailed(..) if self.discovery.moving() => {}
+            Input::Discovery(call, news) => self.discovery_news(call, news),
             Input::Crowded => self.pool.drop_one_idle(),
             Input::Reload(config) => self.reload(&config),
-            Input::List(_, listing) => self.list(listing, None),
-            Input::ListFailed(_, failure, unheard) => {
-                self.tell(Event::DiscoveryFailed { failure, unheard: unheard.as_micros() as Micros });
-            }
             Input::Terminate if self.ends_at.is_none() => {
                 let now = self.clock.now();
                 let longest = self.deployment.settings.classes.iter().map(|c| c.deadline).max();
@@ -571,6 +560,34 @@
 
     // The list.
 
+    fn discovery_news(&mut self, call: CallId, news: CallNews) {
+        let standing = self.discovery.standing(call);
+        match (standing, news) {
+            (Standing::InForce, CallNews::List(listing)) => self.list(listing, None),
+            (Standing::InForce, CallNews::Answered) => self.discovery.answered(),
+            (Standing::InForce, CallNews::Failed { failure, unheard }) => {
+                self.discovery.ended(call);
+                // Where discovery has moved, the former one ends its watches, and the next call is to be made soon.
+                if !self.discovery.moving() {
+                    self.tell(Event::DiscoveryFailed { failure, unheard: unheard.as_micros() as Micros });
+                }
+            }
+            (Standing::Replaced, CallNews::List(listing)) => self.withdraw(&listing),
+            (Standing::Replaced, CallNews::Failed { .. }) => self.discovery.ended(call),
+            // The view of a discovery whose successor has answered is no longer in force.
+            (Standing::Replaced, CallNews::Answered) | (Standing::Ended, _) => {}
+        }
+    }
+
+    /// A list of a call that another is to replace. Its version and its view of who is ready may be of a former
+    /// discovery, but what it has told of servers that drain or are gone counts as told.
+    fn withdraw(&mut self, listing: &Listing) {
+        let changes = self.servers.withdraw(listing, self.clock.now());
+        if !changes.lines.is_empty() {
+            self.take_over(ListKind::Withdrawal, listing.index, changes);
+        }
+    }
+
     fn list(&mut self, listing: Listing, kind: Option<ListKind>) {
         let kind = kind.unwrap_or(if listing.snapshot { ListKind::Full } else { ListKind::Delta });
         if kind == ListKind::Delta && listing.index < self.discovery.index() {
@@ -578,9 +595,14 @@
         }
         self.discovery.held(listing.index);
         let changes = self.servers.apply(kind, &listing.endpoints, self.clock.now());
+        self.take_over(kind, listing.index, changes);
+    }
+
+    /// What a list has changed takes effect.
+    fn take_over(&mut self, kind: ListKind, index: u64, changes: Changes) {
         let summary = changes.summary();
         if !summary.is_empty() {
-            log(&format!("server list version {} ({kind:?}): {summary}", listing.index));
+            log(&format!("server list version {index} ({kind:?}): {summary}"));
         }
         for id in changes.disconnected {
             self.pool.close_idle(id);
--- a/src/bin/spardeal-node/server_table.rs
+++ b/src/bin/spardeal-node/server_table.rs
@@ -10,7 +10,7 @@
 use spardeal::{Condition, ListKind, Micros, ServerId, ServerLine};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::discovery::Endpoint;
+use crate::discovery::{Endpoint, Listing};
 use crate::upstreams::Speech;
 
 /// A line of the log names so many servers at most.
@@ -23,8 +23,8 @@
     pub address: SocketAddr,
     /// What is spoken with it.
     pub speech: Speech,
-    /// Whether it takes new work.
-    pub condition: Condition,
+    /// How the decision module knows it.
+    line: ServerLine,
     /// When it last answered anything.
     pub heard: Micros,
 }
@@ -81,12 +81,12 @@
 
     /// A server that takes new work.
     pub fn ready(&self, id: ServerId) -> Option<&Server> {
-        self.get(id).filter(|server| server.condition == Condition::Ready)
+        self.get(id).filter(|server| server.line.condition == Condition::Ready)
     }
 
     /// Whether any server takes new work.
     pub fn any_ready(&self) -> bool {
-        self.servers.values().any(|server| server.condition == Condition::Ready)
+        self.servers.values().any(|server| server.line.condition == Condition::Ready)
     }
 
     /// A server has answered something.
@@ -103,15 +103,41 @@
             self.apply_entry(entry, now, &mut changes);
         }
         if kind != ListKind::Delta {
-            self.remove_unlisted(&mut changes);
+            self.remove_unlisted(entries, &mut changes);
         }
-        let gone = changes.lines.iter().filter(|line| line.condition == Condition::Gone).map(|line| line.id);
-        for id in gone {
-            self.servers.remove(&id);
+        self.remove_gone(&changes);
+        changes
+    }
+
+    /// Takes over only which of the servers take no new work any more, by a list or a change of it.
+    pub fn withdraw(&mut self, listing: &Listing, now: Micros) -> Changes {
+        let mut changes = Changes::default();
+        for entry in &listing.endpoints {
+            if self.withdraws(entry, now) {
+                self.apply_entry(entry, now, &mut changes);
+            }
+        }
+        if listing.snapshot {
+            self.remove_unlisted(&listing.endpoints, &mut changes);
         }
+        self.remove_gone(&changes);
         changes
     }
 
+    /// Whether an entry tells of a ready server that it takes no new work, and not of an earlier process of it.
+    fn withdraws(&self, entry: &Endpoint, now: Micros) -> bool {
+        let id = server_id(entry);
+        let line = self.line(id, entry, now);
+        let older = |server: &Server| line.started < server.line.started;
+        line.condition != Condition::Ready && self.ready(id).is_some_and(|server| !older(server))
+    }
+
+    fn remove_gone(&mut self, changes: &Changes) {
+        for line in changes.lines.iter().filter(|line| line.condition == Condition::Gone) {
+            self.servers.remove(&line.id);
+        }
+    }
+
     fn apply_entry(&mut self, entry: &Endpoint, now: Micros, changes: &mut Changes) {
         let id = server_id(entry);
         let before = self.servers.get(&id);
@@ -125,15 +151,15 @@
             false => Speech::Resp,
         };
         let name = Box::from(entry.name.as_str());
-        if before.map(|server| server.condition) != Some(line.condition) {
+        if before.map(|server| server.line.condition) != Some(line.condition) {
             changes.transitions.push((Box::clone(&name), line.condition));
         }
         if line.condition != Condition::Ready || before.is_some_and(|server| server.address != address) {
             changes.disconnected.push(id);
         }
         let heard = before.map_or(0, |server| server.heard);
-        self.servers.insert(id, Server { name, address, speech, condition: line.condition, heard });
-        changes.lines.push(line);
+        changes.lines.push(line.clone());
+        self.servers.insert(id, Server { name, address, speech, line, heard });
     }
 
     fn line(&self, id: ServerId, entry: &Endpoint, now: Micros) -> ServerLine {
@@ -154,16 +180,13 @@
     }
 
     /// A server that a whole list does not name has been removed.
-    fn remove_unlisted(&mut self, changes: &mut Changes) {
-        let listed: HashSet<_> = changes.lines.iter().map(|line| line.id).collect();
-        self.servers.retain(|id, server| {
-            let keep = listed.contains(id);
-            if !keep {
-                changes.disconnected.push(*id);
-                changes.transitions.push((std::mem::take(&mut server.name), Condition::Gone));
-            }
-            keep
-        });
+    fn remove_unlisted(&mut self, entries: &[Endpoint], changes: &mut Changes) {
+        let listed: HashSet<_> = entries.iter().map(server_id).collect();
+        for (id, server) in self.servers.iter_mut().filter(|(id, _)| !listed.contains(*id)) {
+            changes.disconnected.push(*id);
+            changes.transitions.push((std::mem::take(&mut server.name), Condition::Gone));
+            changes.lines.push(ServerLine { condition: Condition::Gone, ..server.line.clone() });
+        }
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -763,10 +763,10 @@
     // The server list.
 
     fn server_list(&mut self, kind: ListKind, lines: Vec<ServerLine>) {
-        if kind != ListKind::Cached {
+        if matches!(kind, ListKind::Full | ListKind::Delta) {
             self.discovery_heard();
         }
-        if kind != ListKind::Delta {
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
             self.servers.values_mut().for_each(|s| s.line.condition = Condition::Gone);
         }
         for line in lines {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -229,6 +229,9 @@
     Cached,
     /// Only lines that changed.
     Delta,
+    /// Only servers that take no new work any more, from a call to discovery that another is to replace: the list
+    /// in force is still to come.
+    Withdrawal,
 }
 
 /// How a call to discovery, or the watch on its changes, came to nothing.
