Take the drains of a list that was cut off, and call again within the grace

Cause: what came of a list that broke off was thrown away whole, and the next call was made after the pause of a refusal; what discovery writes counts as told whether or not it arrives.

Change: of a list that breaks off, stands still or can't be read on, the entries that came whole are taken as far as they withdraw servers. A call that ended in a list, and an answered one that was reset (a reset takes what was written and not yet read), is CallFailure::CutOff: a fleet small enough to be served twice in the 6 s calls again within a quarter of the grace, twice in a row at most.

--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -35,6 +35,8 @@
 pub enum CallNews {
     /// A list or a change.
     List(Listing),
+    /// What came whole of a list that was cut off.
+    Fragment(Listing),
     /// All that discovery had to tell at first has come.
     Answered,
     /// The call failed or the watch ended, and for how long nothing had been heard.
--- a/src/bin/spardeal-node/discovery/call.rs
+++ b/src/bin/spardeal-node/discovery/call.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::list::{self, Malformed};
+use super::list::{self, Listing, Malformed};
 use super::{CallId, CallNews};
 use crate::http::{self, Chunks};
 use crate::log;
@@ -41,6 +41,8 @@
     Status(u16),
     /// It brought what is no list; the list held stays in force.
     Malformed,
+    /// It ended in a list.
+    CutOff,
 }
 
 impl std::fmt::Display for CallError {
@@ -50,16 +52,21 @@
             CallError::Io(e) => write!(f, "{e}"),
             CallError::Silent => write!(f, "silent for too long"),
             CallError::Status(status) => write!(f, "answered with status {status}"),
-            CallError::Malformed => write!(f, "brought no list, or one that was cut off"),
+            CallError::Malformed => write!(f, "brought no list"),
+            CallError::CutOff => write!(f, "brought a list that was cut off"),
         }
     }
 }
 
 impl CallError {
-    fn failure(&self) -> CallFailure {
+    /// What it means for the next call, of one that was answered or not.
+    fn failure(&self, answered: bool) -> CallFailure {
         match self {
             CallError::Unreachable(_) => CallFailure::Unreachable,
             CallError::Silent => CallFailure::Silent,
+            CallError::CutOff => CallFailure::CutOff,
+            // A reset takes with it what was written and not yet read.
+            CallError::Io(_) if answered => CallFailure::CutOff,
             CallError::Io(_) | CallError::Status(_) | CallError::Malformed => CallFailure::Failed,
         }
     }
@@ -134,7 +141,7 @@
             Ok(()) => log("discovery: the watch has ended"),
             Err(e) => log(&format!("discovery: {e}")),
         }
-        let failure = ended.err().map_or(CallFailure::Failed, |e| e.failure());
+        let failure = ended.err().map_or(CallFailure::Failed, |e| e.failure(self.answered));
         self.report(CallNews::Failed { failure, unheard: self.heard.elapsed() }).await;
     }
 
@@ -150,7 +157,11 @@
         log(&format!("discovery: {} answers after {} ms", self.address, begun.elapsed().as_millis()));
         let mut body = Body { left: head.content_length.unwrap_or(usize::MAX), ..Body::default() };
         body.chunks = head.chunked.then(Chunks::default);
-        self.read_lists(&mut stream, &mut raw, &mut body).await
+        let ended = self.read_lists(&mut stream, &mut raw, &mut body).await;
+        if ended.is_err() {
+            self.report_fragment(&body.content).await;
+        }
+        ended
     }
 
     async fn connect(&self, path: &str) -> Result<TcpStream, CallError> {
@@ -179,7 +190,7 @@
             }
             if body.ended {
                 // What is left over is a list that was cut off.
-                return if body.content.is_empty() { Ok(()) } else { Err(CallError::Malformed) };
+                return if body.content.is_empty() { Ok(()) } else { Err(CallError::CutOff) };
             }
             if body.content.len() > MAX_LIST {
                 return Err(CallError::Malformed);
@@ -192,11 +203,19 @@
                     self.heard = Instant::now();
                 }
                 read?;
-                return Err(CallError::Malformed);
+                return Err(CallError::CutOff);
             }
         }
     }
 
+    /// Reports what came whole of a list that was cut off.
+    async fn report_fragment(&self, content: &[u8]) {
+        let endpoints = list::whole_entries(content);
+        if !endpoints.is_empty() {
+            self.report(CallNews::Fragment(Listing { endpoints, ..Listing::default() })).await;
+        }
+    }
+
     /// Reports the lists that are whole; tells whether there was one, or an empty line.
     async fn report_lists(&mut self, content: &mut BytesMut) -> Result<bool, CallError> {
         let taken = list::take(content)?;
--- a/src/bin/spardeal-node/discovery/list.rs
+++ b/src/bin/spardeal-node/discovery/list.rs
@@ -81,3 +81,59 @@
     body.advance(used + blank);
     Ok(Taken { lists, heard })
 }
+
+/// The entries that came whole of a list that was cut off.
+pub fn whole_entries(cut_off: &[u8]) -> Vec<Endpoint> {
+    let mut entries = Vec::new();
+    let Some(mut rest) = entries_of(cut_off) else { return entries };
+    loop {
+        let next = rest.trim_ascii_start();
+        rest = next.strip_prefix(b",").unwrap_or(next);
+        let mut parsed = serde_json::Deserializer::from_slice(rest).into_iter::<Endpoint>();
+        let Some(Ok(entry)) = parsed.next() else { return entries };
+        rest = &rest[parsed.byte_offset()..];
+        entries.push(entry);
+    }
+}
+
+/// What follows the bracket that opens the entries of a list.
+fn entries_of(list: &[u8]) -> Option<&[u8]> {
+    const NAME: &[u8] = b"\"endpoints\"";
+    let at = list.windows(NAME.len()).position(|part| part == NAME)?;
+    let value = list[at + NAME.len()..].trim_ascii_start().strip_prefix(b":")?;
+    value.trim_ascii_start().strip_prefix(b"[")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_entry_that_came_whole_is_taken_wherever_a_list_is_cut_off() {
+        let entry = |name: &str| format!(r#"{{"name":"{name}", "status":"leaving"}}"#);
+        for between in [",", " ,\n  "] {
+            let entries = ["a", "b", "c"].map(entry).join(between);
+            let list = format!("{{\"index\":7, \"endpoints\" : [ {entries} ]}}");
+            let ends: Vec<_> = list.match_indices('}').map(|(at, _)| at).take(3).collect();
+            for cut in 0..list.len() {
+                let names: Vec<_> =
+                    whole_entries(&list.as_bytes()[..cut]).into_iter().map(|e| e.name).collect();
+                let whole = ends.iter().filter(|end| **end < cut).count();
+                assert_eq!(names, ["a", "b", "c"][..whole], "{}", &list[..cut]);
+            }
+        }
+    }
+
+    #[test]
+    fn what_is_no_list_has_no_entries() {
+        for text in [
+            &b""[..],
+            b"{\"endpoints\"",
+            b"{\"endpoints\":7",
+            b"{\"endpoints\":[,",
+            b"\xff\"endpoints\":[{\"name\":1}",
+        ] {
+            assert!(whole_entries(text).is_empty());
+        }
+    }
+}
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -573,14 +573,15 @@
                 }
             }
             (Standing::Replaced, CallNews::List(listing)) => self.withdraw(&listing),
+            (Standing::InForce | Standing::Replaced, CallNews::Fragment(listing)) => self.withdraw(&listing),
             (Standing::Replaced, CallNews::Failed { .. }) => self.discovery.ended(call),
             // The view of a discovery whose successor has answered is no longer in force.
             (Standing::Replaced, CallNews::Answered) | (Standing::Ended, _) => {}
         }
     }
 
-    /// A list of a call that another is to replace. Its version and its view of who is ready may be of a former
-    /// discovery, but what it has told of servers that drain or are gone counts as told.
+    /// A list that was cut off, or of a call that another is to replace. It is not the list in force, but what it
+    /// has told of servers that drain or are gone counts as told.
     fn withdraw(&mut self, listing: &Listing) {
         let changes = self.servers.withdraw(listing, self.clock.now());
         if !changes.lines.is_empty() {
--- a/src/brain/discovery_refresh.rs
+++ b/src/brain/discovery_refresh.rs
@@ -29,6 +29,10 @@
 const MOVED_CALL_BY: Micros = 3_500_000;
 /// Silences in a row, after which discovery is asked less and less often.
 const SILENT_TRIES: u32 = 2;
+/// Cuts in a row, after which discovery is asked less and less often.
+const CUT_OFF_TRIES: u32 = 2;
+/// After a watch that was cut off it is called again within this part of the grace of a drain.
+const GRACE_PART: f64 = 1.0 / 4.0;
 /// The first pause after calls that discovery took and that failed, as a part of the time within which it is
 /// to be asked.
 const BACKOFF: f64 = 1.0 / 16.0;
@@ -108,7 +112,12 @@
     fn next_call_window(&self, failure: CallFailure, unheard: f64) -> (f64, f64) {
         let (spread, least) = (self.calls_spread(), self.settings.ask_within as f64 * BACKOFF);
         let taken = failure != CallFailure::Unreachable;
+        let grace = self.settings.drain_grace as f64;
         match failure {
+            // What was cut off counts as told, and the call has to wait in line within the grace.
+            CallFailure::CutOff if self.failed_calls < CUT_OFF_TRIES && self.serves_fleet_twice() => {
+                (0.0, spread.min(grace * GRACE_PART))
+            }
             CallFailure::Silent if self.failed_calls < SILENT_TRIES => (0.0, spread),
             _ if self.failed_calls == 0 => (least / 2.0, least.max(spread) + least / 2.0),
             _ => {
@@ -122,16 +131,22 @@
     /// The latest that the next call may be for what discovery may have to tell. One more refusal must not
     /// make that too late: where the fleet is small enough, there is time for another call behind it.
     fn latest_call(&self, failure: CallFailure, unheard: f64) -> f64 {
-        let (spread, call_by) = (self.calls_spread(), CALL_BY as f64);
+        let spread = self.calls_spread();
         let turn = match failure {
-            CallFailure::Silent => call_by,
-            _ => spread.max(call_by / CALLS_IN_TIME),
+            CallFailure::Silent => CALL_BY as f64,
+            _ if self.serves_fleet_twice() => CALL_BY as f64 / CALLS_IN_TIME,
+            _ => spread,
         };
         let moved = self.moved_at.filter(|_| spread <= MOVED_SPREAD).map(|at| at + MOVED_CALL_BY);
         let moved = moved.filter(|by| *by > self.now).map_or(f64::INFINITY, |by| (by - self.now) as f64);
         (turn - unheard).max(0.0).min(moved)
     }
 
+    /// Whether discovery can serve the fleet so often within the time after which what it has counts as told.
+    fn serves_fleet_twice(&self) -> bool {
+        self.calls_spread() <= CALL_BY as f64 / CALLS_IN_TIME
+    }
+
     /// By how much the pause grows since discovery is overloaded by the fleet.
     fn overload_factor(&self, failure: CallFailure) -> f64 {
         let crowded = failure != CallFailure::Unreachable && self.calls_spread() >= CALL_BY as f64;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -229,8 +229,8 @@
     Cached,
     /// Only lines that changed.
     Delta,
-    /// Only servers that take no new work any more, from a call to discovery that another is to replace: the list
-    /// in force is still to come.
+    /// Only servers that take no new work any more, of a list that was cut off or of a call to discovery that
+    /// another is to replace: the list in force is still to come.
     Withdrawal,
 }
 
@@ -253,7 +253,7 @@
         match self {
             CallFailure::Unreachable => "can't be reached",
             CallFailure::Failed => "turned a call away, or the watch broke",
-            CallFailure::CutOff => "was cut off",
+            CallFailure::CutOff => "turned a call away, or the watch broke, perhaps with news on its way",
             CallFailure::Silent => "is silent",
         }
     }
