Read discovery's answers until the system says that nothing is left

Cause: tokio takes a read or write that moved less than it could to mean that the socket is drained or full, and waits for news that may not come; an interrupted call it takes for an error. On a watch that delayed a drain by up to 2.5 s.

Change: stream.rs, reads and writes that wait only after EWOULDBLOCK and go on after EINTR. All calls to discovery go through it; connections to servers and clients do not yet.

--- a/src/bin/spardeal-node/discovery/call.rs
+++ b/src/bin/spardeal-node/discovery/call.rs
@@ -6,7 +6,6 @@
 
 use bytes::BytesMut;
 use spardeal::CallFailure;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -16,6 +15,7 @@
 use crate::http::{self, Chunks};
 use crate::log;
 use crate::node::Input;
+use crate::stream;
 
 const CONNECT: Duration = Duration::from_secs(1);
 /// Calls wait in turn at discovery: it is given this long to begin its answer. What it has to tell counts as
@@ -24,8 +24,6 @@
 const ANSWER: Duration = Duration::from_millis(2_500);
 /// A watch brings a line every two seconds: one that is silent for longer is dead.
 const SILENCE: Duration = Duration::from_millis(2_500);
-/// Answers are read in pieces of this size.
-const PIECE: usize = 16 * 1024;
 /// The longest list.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
@@ -148,16 +146,16 @@
     /// Makes the call and reports each list of its answer, until that ends.
     async fn stream(&mut self, path: &str) -> Result<(), CallError> {
         let begun = Instant::now();
-        let mut stream = self.connect(path).await?;
+        let stream = self.connect(path).await?;
         let mut raw = BytesMut::new();
-        let head = read_head(&mut stream, &mut raw).await?;
+        let head = read_head(&stream, &mut raw).await?;
         if head.status != 200 {
             return Err(CallError::Status(head.status));
         }
         log(&format!("discovery: {} answers after {} ms", self.address, begun.elapsed().as_millis()));
         let mut body = Body { left: head.content_length.unwrap_or(usize::MAX), ..Body::default() };
         body.chunks = head.chunked.then(Chunks::default);
-        let ended = self.read_lists(&mut stream, &mut raw, &mut body).await;
+        let ended = self.read_lists(&stream, &mut raw, &mut body).await;
         if ended.is_err() {
             self.report_fragment(&body.content).await;
         }
@@ -168,16 +166,16 @@
         let address = self.address;
         log(&format!("discovery: calling {address}{path}"));
         let connect = async { timeout(CONNECT, TcpStream::connect(address)).await? };
-        let mut stream = connect.await.map_err(CallError::Unreachable)?;
+        let stream = connect.await.map_err(CallError::Unreachable)?;
         let _ = stream.set_nodelay(true);
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
-        stream.write_all(request.as_bytes()).await?;
+        stream::write_all(&stream, request.as_bytes()).await?;
         Ok(stream)
     }
 
     async fn read_lists(
         &mut self,
-        stream: &mut TcpStream,
+        stream: &TcpStream,
         raw: &mut BytesMut,
         body: &mut Body,
     ) -> Result<(), CallError> {
@@ -195,8 +193,7 @@
             if body.content.len() > MAX_LIST {
                 return Err(CallError::Malformed);
             }
-            raw.reserve(PIECE);
-            let read = timeout_at(by, stream.read_buf(raw)).await.map_err(|_| CallError::Silent)?;
+            let read = timeout_at(by, stream::read(stream, raw)).await.map_err(|_| CallError::Silent)?;
             if !matches!(read, Ok(count) if count > 0) {
                 if self.answered && body.content.is_empty() {
                     // Between two lists: up to the break there was no more to tell.
@@ -240,11 +237,10 @@
 }
 
 /// Reads until the head of the answer is whole, and takes it off what was read.
-async fn read_head(stream: &mut TcpStream, raw: &mut BytesMut) -> Result<http::Head, CallError> {
+async fn read_head(stream: &TcpStream, raw: &mut BytesMut) -> Result<http::Head, CallError> {
     let by = Instant::now() + ANSWER;
     loop {
-        raw.reserve(PIECE);
-        let count = timeout_at(by, stream.read_buf(raw)).await.map_err(|_| CallError::Silent)??;
+        let count = timeout_at(by, stream::read(stream, raw)).await.map_err(|_| CallError::Silent)??;
         if let Some(head) = http::head(raw)? {
             let _ = raw.split_to(head.length);
             return Ok(head);
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -14,6 +14,7 @@
 mod resp;
 mod server_table;
 mod socket;
+mod stream;
 mod upstreams;
 
 use std::io::Write;
