Failing test: a configuration that could not be read at the signal is never read again

Cause: not yet changed. The loop that waits for SIGHUP gives a reload up when the file can't be opened or read at that moment (no descriptor, an I/O error, half a file).

Tests replace the configuration by a rename, as a whole.

--- a/tests/node/drain.rs
+++ b/tests/node/drain.rs
@@ -265,3 +265,18 @@
     serve_until(&node, Instant::now(), Duration::from_millis(1_050));
     assert_eq!(read_from_first(&node), 0, "reads that go to a server 1.05 s after its drain was written");
 }
+
+// A configuration that could not be read in the one moment in which the signal came was given up for good. The node went
+// on calling a discovery that had moved and takes no new connections, so that it learnt of nothing any more.
+#[test]
+fn a_configuration_that_could_not_be_read_at_the_signal_is_read_again() {
+    let fleet = Fleet::new();
+    let (old, _old_calls) = scripted(vec![vec![Step::Say([watch_head(), chunk("\n")].concat())]]);
+    let node = fleet.start(old);
+    node.reload(Err(""));
+    let mut lines = std::iter::from_fn(|| node.log.recv_timeout(LONG).ok());
+    assert!(lines.any(|line| line.contains("the old configuration stays in force")));
+    let (new, new_calls) = scripted(vec![vec![Step::Say([watch_head(), chunk(&fleet.draining())].concat())]]);
+    node.configure(Ok(new));
+    new_calls.recv_timeout(LONG).expect("a call where discovery is now");
+}
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -381,12 +381,19 @@
 
     /// Replaces the configuration by one that names another discovery, or by any text, and sends SIGHUP.
     pub fn reload(&self, with: Result<SocketAddr, &str>) {
+        self.configure(with);
+        self.kill("HUP");
+    }
+
+    /// Replaces the configuration by one that names another discovery, or by any text, and sends no signal.
+    pub fn configure(&self, with: Result<SocketAddr, &str>) {
         let text = match with {
             Ok(address) => self.text.replace(&self.discovery.to_string(), &address.to_string()),
             Err(text) => text.into(),
         };
-        std::fs::write(&self.path, text).unwrap();
-        self.kill("HUP");
+        let written = self.path.with_extension("new");
+        std::fs::write(&written, text).unwrap();
+        std::fs::rename(&written, &self.path).unwrap();
     }
 
     pub fn client(&self) -> Client {
