Read a configuration that can't be used again for 2 s

Cause: the loop that waits for SIGHUP gave a reload up when the file could not be opened or read in that moment, and the node stayed with a discovery that had moved.

Change: reload.rs reads it again every 100 ms, 20 times, and from the start at a further signal; the old one stays in force meanwhile, and the first failure is logged as before.

--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -11,6 +11,7 @@
 mod node;
 mod origin;
 mod places;
+mod reload;
 mod resp;
 mod server_table;
 mod socket;
@@ -47,7 +48,7 @@
     let clock = Clock::start();
     let places = Places::new(config.sockets);
     let mut terms = [signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?];
-    let mut hangup = signal(SignalKind::hangup())?;
+    let hangup = signal(SignalKind::hangup())?;
     let listener = TcpListener::bind(config.listen).await?;
     log(&format!("listening on {}", listener.local_addr()?));
     let deployment = Arc::new(config.deployment.clone());
@@ -78,16 +79,7 @@
         tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
         let _ = signals.send(Input::Terminate).await;
     });
-    let reloads = hub.clone();
-    tokio::spawn(async move {
-        // Against an end by SIGHUP, and against a file that can't be used: the old configuration stays.
-        while hangup.recv().await.is_some() {
-            match Config::again() {
-                Ok(config) => drop(reloads.send(Input::Reload(Box::new(config))).await),
-                Err(e) => log(&format!("reload: {e}; the old configuration stays in force")),
-            }
-        }
-    });
+    tokio::spawn(reload::follow(hangup, hub.clone()));
     let clients = places.clone();
     let idle = move || clients.deserted();
     Node::new(config, deployment, clock, hub, places, memory).run(inputs, phase_set, idle).await;
--- /dev/null
+++ b/src/bin/spardeal-node/reload.rs
@@ -0,0 +1,44 @@
+//! Reads the configuration again at each SIGHUP. Knows nothing of what it says.
+
+use std::time::Duration;
+
+use tokio::signal::unix::Signal;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::config::Config;
+use crate::log;
+use crate::node::Input;
+
+/// A configuration that can't be used is read again after this long: it may be about to be replaced, or there may have
+/// been no descriptor to read it with.
+const READ_AGAIN: Duration = Duration::from_millis(100);
+/// It is read so many times at the most, which is well within the 4 s after which a move of discovery counts.
+const MAX_READS: u32 = 20;
+
+/// Passes each new configuration on, for as long as there are signals. An old one stays in force until then.
+pub async fn follow(mut signals: Signal, events: mpsc::Sender<Input>) {
+    while signals.recv().await.is_some() {
+        if let Some(config) = read(&mut signals).await {
+            let _ = events.send(Input::Reload(Box::new(config))).await;
+        }
+    }
+}
+
+/// Reads the configuration until it can be used. A further signal begins the count anew.
+async fn read(signals: &mut Signal) -> Option<Config> {
+    let mut reads = 0;
+    while reads < MAX_READS {
+        match Config::again() {
+            Ok(config) => return Some(config),
+            Err(e) if reads == 0 => log(&format!("reload: {e}; the old configuration stays in force")),
+            Err(_) => {}
+        }
+        reads += 1;
+        if let Ok(Some(())) = timeout(READ_AGAIN, signals.recv()).await {
+            reads = 0;
+        }
+    }
+    log("reload: given up");
+    None
+}
