Failing test: no call shortly before what was not heard counts as told

Cause: not yet changed. The time for the next call runs from the call before and not from when all that discovery had to tell was last heard, so that after two refusals there may be none in the last seconds before it counts as told.

--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -127,6 +127,47 @@
     assert!(waits[0] < 150 * MS && waits[1] < 150 * MS && waits[2] > SECOND, "{waits:?}");
 }
 
+/// However often discovery turns a call away, what it has since a watch was last heard counts as told after 6 s, and after
+/// a move 4 s later: a call has to be made shortly before that, and not only so long after the one before.
+#[test]
+fn a_small_fleet_calls_shortly_before_what_it_has_not_heard_counts_as_told() {
+    let failures = [(CallFailure::Silent, 2_500 * MS), (CallFailure::Failed, 0), (CallFailure::CutOff, 0)];
+    for (balancers, me) in [(1, 0), (3, 1), (6, 0), (6, 3), (10, 7)] {
+        for seed in 1..40 {
+            for (failure, unheard) in failures {
+                let by = CALL_BY - unheard;
+                let calls = calls_after((balancers, me, seed), Event::DiscoveryFailed { failure, unheard });
+                let last = calls.iter().rev().find(|at| **at <= by + MS).expect("a call in time");
+                assert!(*last + SECOND >= by, "{balancers}, {failure:?}: {calls:?}, due by {by}");
+            }
+            let calls = calls_after((balancers, me, seed), Event::DiscoveryMoved);
+            let last = calls.iter().rev().find(|at| **at <= 3_500 * MS + MS).expect("a call in time");
+            assert!(*last + SECOND >= 3_500 * MS, "{balancers}, moved: {calls:?}");
+        }
+    }
+}
+
+/// When a balancer calls in the next ten seconds, where each call is turned away 20 ms later.
+fn calls_after((balancers, me, seed): (u32, u32, u64), event: Event) -> Vec<Micros> {
+    let config = Settings { balancers, me, ask_discovery: true, ..settings() };
+    let mut node = Node::of(Policy::new(config, seed), vec![server(1), origin()]);
+    until_call(&mut node);
+    node.list(ListKind::Full, vec![server(1), origin()]);
+    node.pass(20 * SECOND);
+    let begun = node.now;
+    node.actions.clear();
+    node.event(event);
+    let mut calls = Vec::new();
+    while node.now < begun + 10 * SECOND {
+        until_call(&mut node);
+        calls.push(node.now - begun);
+        node.pass(20 * MS);
+        node.actions.clear();
+        fail(&mut node, CallFailure::Failed, 20 * MS);
+    }
+    calls
+}
+
 /// A watch that breaks in the middle of a list, or is reset, may have taken news with it that counts as told once it was
 /// written. There is the grace of a drain for another call and its wait in line.
 #[test]
