Make a call shortly before what was not heard counts as told

Cause: the time for the next call ran from the call before, and not from when discovery was last heard or moved; and calls that were cut to the same latest time fell into step over the fleet.

Change: call_due, the time by which a call is owed since discovery was last heard, or since a move; failures no longer put it off. A fleet that discovery can serve twice as often as is sure (nine nodes where it is to be asked within 10 s) makes a call in the last moments before it, spread as all others; larger ones get a turn between the former 5.5 s and the 2.75 s.

--- a/src/bin/spardeal-node/server_table.rs
+++ b/src/bin/spardeal-node/server_table.rs
@@ -128,7 +128,7 @@
     fn withdraws(&self, entry: &Endpoint, now: Micros) -> bool {
         let id = server_id(entry);
         let line = self.line(id, entry, now);
-        let older = |server: &Server| line.started < server.line.started;
+        let older = |server: &Server| line.started != 0 && line.started < server.line.started;
         line.condition != Condition::Ready && self.ready(id).is_some_and(|server| !older(server))
     }
 
--- a/src/brain/discovery_refresh.rs
+++ b/src/brain/discovery_refresh.rs
@@ -16,8 +16,8 @@
 /// is left of that to a call itself is enough to connect and to be served: where many call, a line costs
 /// all the same time.
 const CALL_BY: Micros = 5_500_000;
-/// So many calls have to fit into that time where discovery can serve the fleet as often: the first of them
-/// may fail.
+/// So many calls have to fit into that time, as far as discovery can serve the fleet so often: the first may
+/// fail. The spread is as long as it needs for the fleet at the least, and it may need twice as long.
 const CALLS_IN_TIME: f64 = 2.0;
 /// Calls to a discovery that moved are spread over this time at the most: what it has to tell counts as
 /// told 4 s after the move, so that there must be time left for the call itself.
@@ -66,22 +66,32 @@
     pub(super) fn discovery_moved(&mut self) {
         let spread = self.calls_spread().min(MOVED_SPREAD) * self.rng.unit();
         self.failed_calls = 0;
+        self.call_due_by(self.now + MOVED_CALL_BY);
         let Some(first_move) = self.moved_at else {
             self.moved_at = Some(self.now);
             return self.call_after(spread as Micros);
         };
         // Configurations that follow one another would each cost discovery a call in vain: the call waits for
         // the last of them, as long as there is time.
-        let settled = self.now + MOVES_SETTLE + spread as Micros;
-        let at = settled.min(first_move + MOVED_SPREAD as Micros).max(self.now);
-        self.call_at = None;
-        self.call_after(at - self.now);
+        let settled = MOVES_SETTLE as f64 + spread;
+        let latest = (first_move + MOVED_SPREAD as Micros).saturating_sub(self.now) as f64;
+        if self.served_again_in_time() {
+            self.call_at = None;
+            self.call_after(settled.min(latest - spread).max(0.0) as Micros);
+        } else {
+            self.call_after(spread as Micros);
+        }
     }
 
     /// A list has come. All that was told before it is in force.
     pub(super) fn discovery_heard(&mut self) {
         self.failed_calls = 0;
-        self.moved_at = None;
+        (self.moved_at, self.call_due) = (None, None);
+    }
+
+    /// What was not heard counts as told soon after a time. Calls that fail put that off no more.
+    fn call_due_by(&mut self, at: Micros) {
+        self.call_due = Some(self.call_due.map_or(at, |due| due.min(at)));
     }
 
     /// One call stands for all that were asked for meanwhile: each costs discovery the same.
@@ -96,11 +106,12 @@
     /// A call has come to nothing, or the watch has ended: when is the next? In time for all that discovery
     /// may have had since this balancer last heard of it, or called it.
     pub(super) fn discovery_failed(&mut self, failure: CallFailure, unheard: Micros, out: &mut Vec<Action>) {
+        self.call_due_by((self.now + CALL_BY).saturating_sub(unheard));
         let (from, to) = self.next_call_window(failure, unheard as f64);
         let latest = self.latest_call(failure, unheard as f64);
-        let grown = self.overload_factor(failure);
-        let (from, to) = (from.min(latest) * grown, to.min(latest) * grown);
-        let after = (from + (to - from) * self.rng.unit()) as Micros;
+        let (from, to) = (from.min(latest * JITTER), to.min(latest));
+        let after = (from + (to - from) * self.rng.unit()) * self.overload_factor(failure);
+        let after = after.min(self.until_due()) as Micros;
         self.failed_calls = if failure == CallFailure::Unreachable { 1 } else { self.failed_calls + 1 };
         self.call_after(after);
         out.push(Action::Log(format!("discovery {}: asking again in {} ms", failure.text(), after / 1_000)));
@@ -115,7 +126,7 @@
         let grace = self.settings.drain_grace as f64;
         match failure {
             // What was cut off counts as told, and the call has to wait in line within the grace.
-            CallFailure::CutOff if self.failed_calls < CUT_OFF_TRIES && self.serves_fleet_twice() => {
+            CallFailure::CutOff if self.failed_calls < CUT_OFF_TRIES && self.served_again_in_time() => {
                 (0.0, spread.min(grace * GRACE_PART))
             }
             CallFailure::Silent if self.failed_calls < SILENT_TRIES => (0.0, spread),
@@ -128,23 +139,31 @@
         }
     }
 
-    /// The latest that the next call may be for what discovery may have to tell. One more refusal must not
-    /// make that too late: where the fleet is small enough, there is time for another call behind it.
+    /// The latest that the next call may be, whatever the failures before. One more refusal must not make it
+    /// too late for what discovery has, so that there is time for another call behind it, as far as discovery
+    /// can serve the fleet so often.
     fn latest_call(&self, failure: CallFailure, unheard: f64) -> f64 {
-        let spread = self.calls_spread();
+        let call_by = CALL_BY as f64;
         let turn = match failure {
-            CallFailure::Silent => CALL_BY as f64,
-            _ if self.serves_fleet_twice() => CALL_BY as f64 / CALLS_IN_TIME,
-            _ => spread,
+            CallFailure::Silent => call_by,
+            _ if self.failed_calls >= OVERLOADED_AFTER && !self.served_again_in_time() => call_by,
+            _ => (call_by / CALLS_IN_TIME).max(self.calls_spread() * CALLS_IN_TIME).min(call_by),
         };
-        let moved = self.moved_at.filter(|_| spread <= MOVED_SPREAD).map(|at| at + MOVED_CALL_BY);
-        let moved = moved.filter(|by| *by > self.now).map_or(f64::INFINITY, |by| (by - self.now) as f64);
-        (turn - unheard).max(0.0).min(moved)
+        (turn - unheard).max(0.0)
+    }
+
+    /// How long it is until a call has to be made since what was not heard is about to count as told. The
+    /// watches of a fleet may all have broken at once: even so the calls are spread.
+    fn until_due(&mut self) -> f64 {
+        let Some(due) = self.call_due.filter(|_| self.served_again_in_time()) else { return f64::INFINITY };
+        let early = self.calls_spread() * self.rng.unit();
+        let left = due.saturating_sub(self.now) as f64 - early;
+        if left > 0.0 { left } else { f64::INFINITY }
     }
 
-    /// Whether discovery can serve the fleet so often within the time after which what it has counts as told.
-    fn serves_fleet_twice(&self) -> bool {
-        self.calls_spread() <= CALL_BY as f64 / CALLS_IN_TIME
+    /// Whether discovery can serve the fleet again when calls to it have failed once.
+    fn served_again_in_time(&self) -> bool {
+        self.calls_spread() * CALLS_IN_TIME <= CALL_BY as f64 / CALLS_IN_TIME
     }
 
     /// By how much the pause grows since discovery is overloaded by the fleet.
