Failing test: a server that moved is written to at its former address

Cause: not yet changed. Node::write looks at the condition of the server when a connection is up, and not at its address.

The log tells of servers that moved.

--- a/src/bin/spardeal-node/server_table.rs
+++ b/src/bin/spardeal-node/server_table.rs
@@ -36,16 +36,34 @@
     pub lines: Vec<ServerLine>,
     /// Servers to which no idle connection is of use any more.
     pub disconnected: Vec<ServerId>,
-    /// Servers whose condition is another one than before, by name.
-    transitions: Vec<(Box<str>, Condition)>,
+    /// What became of servers, by name.
+    transitions: Vec<(Box<str>, Transition)>,
+}
+
+/// What became of a server.
+enum Transition {
+    /// It is in another condition than before.
+    Turned(Condition),
+    /// It is at another address than before.
+    Moved(SocketAddr),
+}
+
+impl std::fmt::Display for Transition {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Transition::Turned(Condition::Ready) => write!(f, "ready"),
+            Transition::Turned(Condition::Draining) => write!(f, "draining"),
+            Transition::Turned(Condition::Gone) => write!(f, "gone"),
+            Transition::Moved(address) => write!(f, "moved to {address}"),
+        }
+    }
 }
 
 impl Changes {
-    /// The changes of conditions in words, for the log; nothing where there are none.
+    /// What became of servers in words, for the log; nothing where nothing did.
     pub fn summary(&self) -> String {
         let named = self.transitions.iter().take(NAMED_IN_LOG);
-        let mut words: Vec<_> =
-            named.map(|(name, condition)| format!("{name} {}", word(*condition))).collect();
+        let mut words: Vec<_> = named.map(|(name, transition)| format!("{name} {transition}")).collect();
         match self.transitions.len().saturating_sub(NAMED_IN_LOG) {
             0 => {}
             more => words.push(format!("and {more} more")),
@@ -54,14 +72,6 @@
     }
 }
 
-fn word(condition: Condition) -> &'static str {
-    match condition {
-        Condition::Ready => "ready",
-        Condition::Draining => "draining",
-        Condition::Gone => "gone",
-    }
-}
-
 /// All servers of the list in force.
 pub struct ServerTable {
     deployment: Arc<Deployment>,
@@ -152,9 +162,13 @@
         };
         let name = Box::from(entry.name.as_str());
         if before.map(|server| server.line.condition) != Some(line.condition) {
-            changes.transitions.push((Box::clone(&name), line.condition));
+            changes.transitions.push((Box::clone(&name), Transition::Turned(line.condition)));
+        }
+        let moved = before.is_some_and(|server| server.address != address);
+        if moved {
+            changes.transitions.push((Box::clone(&name), Transition::Moved(address)));
         }
-        if line.condition != Condition::Ready || before.is_some_and(|server| server.address != address) {
+        if line.condition != Condition::Ready || moved {
             changes.disconnected.push(id);
         }
         let heard = before.map_or(0, |server| server.heard);
@@ -184,7 +198,7 @@
         let listed: HashSet<_> = entries.iter().map(server_id).collect();
         for (id, server) in self.servers.iter_mut().filter(|(id, _)| !listed.contains(*id)) {
             changes.disconnected.push(*id);
-            changes.transitions.push((std::mem::take(&mut server.name), Condition::Gone));
+            changes.transitions.push((std::mem::take(&mut server.name), Transition::Turned(Condition::Gone)));
             changes.lines.push(ServerLine { condition: Condition::Gone, ..server.line.clone() });
         }
     }
--- a/tests/node/drain.rs
+++ b/tests/node/drain.rs
@@ -8,7 +8,7 @@
 use socket2::SockRef;
 
 use crate::stand_in::*;
-use crate::{no_origin, trio};
+use crate::{no_origin, pair, quiet, trio};
 
 /// What discovery does on a connection, one step after the other. The connection stays open behind the last.
 pub enum Step {
@@ -280,3 +280,27 @@
     node.configure(Ok(new));
     new_calls.recv_timeout(LONG).expect("a call where discovery is now");
 }
+
+// A server that was listed at another address, while a connection to its former one was still coming up, was written to at
+// the former address, where another process or none may be by now.
+#[test]
+fn a_server_that_moves_while_a_connection_to_it_comes_up_gets_nothing_written_at_its_former_address() {
+    let crowded = Crowded::new();
+    let (second, origin) = (cache(|_| Act::Say(hit("second"))), no_origin());
+    let (discovery, say, _calls) = quiet();
+    let known = pair(crowded.address, origin.address);
+    let node = Node::start_in(discovery, &known, (256, 16), "", &patient());
+    let mut client = node.client();
+    client.send(&patient_get("aa", "1"));
+    // Behind it on the same connection, so that the node has begun to connect for the first once this is at the origin.
+    client.send(&put("bb", "3", "v"));
+    assert_eq!(origin.next().words[0], "PUT /bb HTTP/1.1");
+    client.out.set_read_timeout(Some(3 * LONG)).unwrap();
+    let moved = entry("s-1", second.address, "std", "active");
+    say.send(chunk(&listing(6, false, &[moved]))).unwrap();
+    let mut lines = std::iter::from_fn(|| node.log.recv_timeout(LONG).ok());
+    assert!(lines.any(|line| line.contains("s-1 moved")), "the list is in force");
+    let first = crowded.open(|_| Act::Say(hit("first")));
+    assert_eq!(client.answer().unwrap(), "second", "the connection is up, and its server is elsewhere");
+    assert!(first.seen.try_iter().all(|seen| seen.words.is_empty()), "nothing was written to it");
+}
