Connect anew where a server has moved while a connection to it came up

Cause: Node::write looked at the condition of the server when a connection was up, and not at its address.

Change: it looks at both; the attempt, of which nothing was written, gets a fresh connection, as one whose kept connection had ended unseen does (Node::connect_again serves both).

--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -435,6 +435,13 @@
             self.pool.release(conn, address, now);
             return self.end(key, Status::NotSent);
         };
+        // While the connection came up its server may have been listed at another address.
+        if self.pool.address(conn) != Some(server.address) {
+            if !self.connect_again(key, conn) {
+                self.end(key, Status::ConnectFailed);
+            }
+            return;
+        }
         let left_ms = (open.ends - now).div_ceil(1_000);
         let bytes = match server.speech {
             Speech::Resp => caches::encode(&open.command, left_ms),
@@ -497,20 +504,28 @@
     /// A connection is lost that an attempt was on or waited for.
     fn lost(&mut self, key: AttemptKey, conn: ConnId, written: bool) {
         let stale = !written && self.pool.carried(conn) > 1;
-        self.pool.close(conn);
         if written {
+            self.pool.close(conn);
             return self.end(key, Status::Reset);
         }
         // A kept connection that had ended unseen: the last byte was not written, so nothing was sent, and
         // the same attempt may have a fresh connection. Only once: a fresh one has carried nothing.
-        if let Some(attempt) = self.attempts.get_mut(&key).filter(|_| stale)
-            && let Some(server) = self.servers.get(attempt.server)
-            && let Some(conn) = self.pool.open(attempt.server, server.address, server.speech, key)
-        {
-            attempt.conn = conn;
-            return;
+        if !(stale && self.connect_again(key, conn)) {
+            self.pool.close(conn);
+            self.end(key, Status::ConnectFailed);
         }
-        self.end(key, Status::ConnectFailed);
+    }
+
+    /// Opens a fresh connection in place of one on which nothing was sent; `false` where there is none to be had.
+    fn connect_again(&mut self, key: AttemptKey, conn: ConnId) -> bool {
+        self.pool.close(conn);
+        let Some(attempt) = self.attempts.get_mut(&key) else { return false };
+        let Some(server) = self.servers.get(attempt.server) else { return false };
+        let Some(conn) = self.pool.open(attempt.server, server.address, server.speech, key) else {
+            return false;
+        };
+        attempt.conn = conn;
+        true
     }
 
     /// Stops waiting for an attempt, by closing its connection.
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -188,6 +188,11 @@
         self.conns.get(&id)?.attempt
     }
 
+    /// Where a connection leads.
+    pub fn address(&self, id: ConnId) -> Option<SocketAddr> {
+        Some(self.conns.get(&id)?.address)
+    }
+
     /// How many requests a connection has been given.
     pub fn carried(&self, id: ConnId) -> u64 {
         self.conns.get(&id).map_or(0, |conn| conn.carried)
