Test that calls which are replaced fit into the reserve of descriptors

Cause: a move may now leave three calls open beside the one in force.

Change: a test with a full table of 64 and 256 descriptors while discovery moves eight times.

--- a/tests/node/crowd.rs
+++ b/tests/node/crowd.rs
@@ -9,6 +9,7 @@
 
 use socket2::{Domain, Socket, Type};
 
+use crate::drain::{Step, scripted};
 use crate::stand_in::*;
 use crate::{no_origin, pair, quiet};
 
@@ -412,3 +413,29 @@
         assert!(most <= sockets, "{most} of {sockets}");
     }
 }
+
+#[test]
+fn a_node_with_a_full_table_never_holds_more_descriptors_than_it_may_while_discovery_moves() {
+    for sockets in [64, 256] {
+        let server = cache(|words| Act::Say(hit(&words[1])));
+        let watch = || vec![Step::Say([watch_head(), chunk("\n")].concat())];
+        let (discovery, calls) = scripted(vec![watch()]);
+        let node = Node::start_with(discovery, &pair(server.address, no_origin().address), sockets, "");
+        calls.recv_timeout(LONG).expect("the watch");
+        let mut most = 0;
+        let mut peers = Vec::new();
+        for id in 0..2 * sockets {
+            peers.push(if id % 2 == 0 { pinged(&node) } else { node.client() });
+            if id % (sockets / 4) == 0 {
+                // A call that waits in line, so that all that it replaces stay open.
+                let (next, calls) = scripted(vec![Vec::new()]);
+                node.reload(Ok(next));
+                calls.recv_timeout(LONG).expect("a call after a move");
+            }
+            let answer = node.client().ask(&get("aa", &id.to_string()));
+            assert!(answer.is_some(), "answered, with {id} others there");
+            most = most.max(node.descriptors());
+        }
+        assert!(most <= sockets, "{most} of {sockets}");
+    }
+}
