Test drains beside system calls that are interrupted or end early

Cause: the mend of discovery's reads was shown by urgent data only.

Change: a shim between the node and the C library, built by the tests with the C compiler that links Rust; a tenth of the reads and writes on sockets is interrupted, a tenth moves less than it could, by a seed.

--- a/tests/node/drain.rs
+++ b/tests/node/drain.rs
@@ -281,6 +281,34 @@
     new_calls.recv_timeout(LONG).expect("a call where discovery is now");
 }
 
+// With a tenth of the reads and writes interrupted and a tenth ending early, 20 of 120 drains were in force over 1.05 s after
+// they were written, one of them 15.7 s. An interrupted read ended the watch, and a short one left the rest unread.
+#[test]
+fn drains_are_in_force_at_once_though_system_calls_are_interrupted_and_end_early() {
+    const SERVERS: u64 = 60;
+    let nowhere = no_origin().address;
+    let name = |server: u64| format!("s-{server}");
+    let entries: Vec<_> = (0..SERVERS).map(|server| entry(&name(server), nowhere, "std", "active")).collect();
+    for seed in 1..=3 {
+        let (discovery, say, calls) = discovery(vec![[watch_head(), chunk("\n")].concat()]);
+        let before = failing_system_calls(seed);
+        let node =
+            Node::start_in(discovery, &listing(1, true, &entries), (256, 16), &before, &fleet_of_six());
+        calls.recv_timeout(LONG).expect("the watch");
+        for server in 0..SERVERS {
+            let drains = entry(&name(server), nowhere, "std", "leaving");
+            say.send(chunk(&listing(2 + server, false, &[drains]))).unwrap();
+            let written = Instant::now();
+            let in_force = format!("{} draining", name(server));
+            let lines = std::iter::from_fn(|| node.log.recv_timeout(LONG).ok());
+            assert!(lines.into_iter().any(|line| line.contains(&in_force)), "{in_force} at all");
+            let late = written.elapsed();
+            assert!(late < Duration::from_millis(1_050), "{late:?} until {in_force}, seed {seed}");
+        }
+        assert!(calls.try_recv().is_err(), "all on one watch");
+    }
+}
+
 // A server that was listed at another address, while a connection to its former one was still coming up, was written to at
 // the former address, where another process or none may be by now.
 #[test]
--- a/tests/node/stand_in.rs
+++ b/tests/node/stand_in.rs
@@ -2,10 +2,11 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
 use socket2::{Domain, Socket, Type};
@@ -286,6 +287,20 @@
     format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, entries.join(",")) + "\n"
 }
 
+/// A shell command before a node after which some of its reads and writes are interrupted or end early.
+pub fn failing_system_calls(seed: u32) -> String {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    let library = BUILT.get_or_init(|| {
+        let library = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("system_calls.so");
+        let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/node/system_calls.c");
+        let built =
+            Command::new("cc").args(["-shared", "-fPIC", "-o"]).arg(&library).args([source, "-ldl"]).status();
+        assert!(built.expect("the C compiler that also links Rust").success());
+        library
+    });
+    format!("export SYSTEM_CALLS_SEED={seed} LD_PRELOAD='{}';", library.display())
+}
+
 /// A node under test; killed when dropped.
 pub struct Node {
     child: Child,
