Failing tests: requests are lost when system calls are interrupted or end early

Cause: not yet changed. The related paths of the watch that stood still: sockets of clients and servers take an interrupted call for the end of the connection, and a short one for all there was.

Measured: the first answer of the first client is -BUSY in place of a hit; the third of eight writes is never answered.

--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod leaving;
 mod stand_in;
+mod system_calls;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
