Take no interrupted call for an end and no short one for the whole, on any connection

Cause: tokio, and Socket::read_into beside it, took a read of less than was asked for to mean that nothing was left, a short write to mean that the socket is full, and an interrupted call for an error, which ended the connection of a client (its requests were lost) or failed an attempt that may have run.

It waits only after EWOULDBLOCK and repeats a call that was interrupted; a client's short read is followed by a look for more.

--- a/src/bin/spardeal-node/discovery/call.rs
+++ b/src/bin/spardeal-node/discovery/call.rs
@@ -24,6 +24,8 @@
 const ANSWER: Duration = Duration::from_millis(2_500);
 /// A watch brings a line every two seconds: one that is silent for longer is dead.
 const SILENCE: Duration = Duration::from_millis(2_500);
+/// Answers are read in pieces of this size.
+const PIECE: usize = 16 * 1024;
 /// The longest list.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
@@ -193,7 +195,7 @@
             if body.content.len() > MAX_LIST {
                 return Err(CallError::Malformed);
             }
-            let read = timeout_at(by, stream::read(stream, raw)).await.map_err(|_| CallError::Silent)?;
+            let read = timeout_at(by, read_piece(stream, raw)).await.map_err(|_| CallError::Silent)?;
             if !matches!(read, Ok(count) if count > 0) {
                 if self.answered && body.content.is_empty() {
                     // Between two lists: up to the break there was no more to tell.
@@ -229,6 +231,11 @@
     }
 }
 
+async fn read_piece(stream: &TcpStream, raw: &mut BytesMut) -> std::io::Result<usize> {
+    raw.reserve(PIECE);
+    stream::read(stream, raw).await
+}
+
 fn watch_path(index: &AtomicU64) -> String {
     match index.load(Ordering::Relaxed) {
         0 => "/v1/servers?watch=1".into(),
@@ -240,7 +247,7 @@
 async fn read_head(stream: &TcpStream, raw: &mut BytesMut) -> Result<http::Head, CallError> {
     let by = Instant::now() + ANSWER;
     loop {
-        let count = timeout_at(by, stream::read(stream, raw)).await.map_err(|_| CallError::Silent)??;
+        let count = timeout_at(by, read_piece(stream, raw)).await.map_err(|_| CallError::Silent)??;
         if let Some(head) = http::head(raw)? {
             let _ = raw.split_to(head.length);
             return Ok(head);
--- a/src/bin/spardeal-node/socket.rs
+++ b/src/bin/spardeal-node/socket.rs
@@ -4,8 +4,7 @@
 //! is left with the machine. Here each piece of news is taken once, and what is still to be read is kept in mind.
 
 use std::future::Future;
-use std::io::{self, ErrorKind, Read};
-use std::mem::MaybeUninit;
+use std::io::{self, ErrorKind};
 use std::net::Shutdown;
 use std::pin::pin;
 use std::sync::{Arc, Weak};
@@ -17,6 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::stream::{self, Input};
+
 /// Input is read in pieces of this size; a command that is longer has to wait for memory.
 pub const PIECE: usize = 4096;
 /// Input that is not kept is read in pieces of this size.
@@ -91,16 +92,19 @@
 
     fn read_into(&mut self, piece: &mut [u8], take: impl FnOnce(&[u8])) -> io::Result<usize> {
         // Not through tokio, which takes it that what was told once has been read.
-        let read = (&*SockRef::from(&*self.stream)).read(piece);
-        // Less than was asked for is all there was, but for the end behind it.
-        self.unread = read.as_ref().is_ok_and(|count| self.ended() || *count == piece.len());
+        let read = stream::read_now(&self.stream, piece);
+        // Less than was asked for need not be all there was: urgent data or a signal can end a read early.
+        self.unread = match &read {
+            Ok(count) => self.ended() || *count == piece.len() || stream::look(&self.stream) != Input::None,
+            Err(_) => false,
+        };
         take(&piece[..*read.as_ref().unwrap_or(&0)]);
         read
     }
 
     /// Writes what there is room for.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
-        self.stream.try_write(bytes)
+        self.stream.try_io(Interest::WRITABLE, || stream::write_now(&self.stream, bytes))
     }
 
     /// Reads on for a moment, and so much, after the last answer: a close with input unread would reset the
@@ -157,11 +161,10 @@
             return Seen::Gone;
         }
         // ... and one behind nothing in what it says now.
-        match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
-            Ok(0) => Seen::Gone,
-            Ok(_) => Seen::Unread,
-            Err(e) if e.kind() == ErrorKind::WouldBlock => Seen::Here,
-            Err(_) => Seen::Gone,
+        match stream::look(&stream) {
+            Input::None => Seen::Here,
+            Input::Unread => Seen::Unread,
+            Input::Ended => Seen::Gone,
         }
     }
 
--- a/src/bin/spardeal-node/stream.rs
+++ b/src/bin/spardeal-node/stream.rs
@@ -2,30 +2,37 @@
 //! the socket is drained or full, and waits for news that may not come; and it takes an interrupted one for an error.
 
 use std::io::{self, ErrorKind, Read, Write};
+use std::mem::MaybeUninit;
 
 use bytes::BytesMut;
 use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
-/// Input is read in pieces of this size.
-const PIECE: usize = 16 * 1024;
+/// Input is read in pieces of this size at the most.
+const PIECE: usize = 8 * 1024;
 
-/// Reads a piece of what is there to the end of a buffer; 0 at the end of the input.
+/// Reads what is there, as far as a buffer has room, to its end; 0 at the end of the input.
 pub async fn read(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
+    let room = (buffer.capacity() - buffer.len()).clamp(1, PIECE);
     let read_piece = || {
         let mut piece = [0; PIECE];
-        let count = (&*SockRef::from(stream)).read(&mut piece)?;
+        let count = read_now(stream, &mut piece[..room])?;
         buffer.extend_from_slice(&piece[..count]);
         Ok(count)
     };
     transfer(stream, Interest::READABLE, read_piece).await
 }
 
+/// Writes as much as there is room for.
+pub async fn write(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    transfer(stream, Interest::WRITABLE, || write_now(stream, bytes)).await
+}
+
 /// Writes all of it.
 pub async fn write_all(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
     while !bytes.is_empty() {
-        let written = transfer(stream, Interest::WRITABLE, || (&*SockRef::from(stream)).write(bytes)).await?;
+        let written = write(stream, bytes).await?;
         if written == 0 {
             return Err(ErrorKind::WriteZero.into());
         }
@@ -34,6 +41,47 @@
     Ok(())
 }
 
+/// Reads what is there now.
+pub fn read_now(stream: &TcpStream, piece: &mut [u8]) -> io::Result<usize> {
+    uninterrupted(|| (&*SockRef::from(stream)).read(piece))
+}
+
+/// Writes what there is room for now.
+pub fn write_now(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    uninterrupted(|| (&*SockRef::from(stream)).write(bytes))
+}
+
+/// What a look at the input of a connection shows.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Input {
+    /// Nothing has come that was not read.
+    None,
+    /// Something has come.
+    Unread,
+    /// The other side sends no more, or has reset the connection.
+    Ended,
+}
+
+/// Looks, by the machine's word, at what was not read yet.
+pub fn look(stream: &TcpStream) -> Input {
+    match uninterrupted(|| SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])) {
+        Ok(0) => Input::Ended,
+        Ok(_) => Input::Unread,
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Input::None,
+        Err(_) => Input::Ended,
+    }
+}
+
+/// Makes a call again for as long as signals interrupt it.
+fn uninterrupted(mut call: impl FnMut() -> io::Result<usize>) -> io::Result<usize> {
+    loop {
+        match call() {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            ended => return ended,
+        }
+    }
+}
+
 /// Tries a call again until it moves something or fails. Only the system's word that it would block makes it wait.
 async fn transfer(
     stream: &TcpStream,
@@ -43,7 +91,7 @@
     loop {
         stream.ready(interest).await?;
         match stream.try_io(interest, &mut call) {
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
             ended => return ended,
         }
     }
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -2,17 +2,13 @@
 //! in order and a slow answer would stall those behind it.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use socket2::SockRef;
 use spardeal::settings::Deployment;
 use spardeal::{Load, Micros, Note, RequestId, ServerId, Status};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
@@ -22,7 +18,7 @@
 use crate::places::{Places, ServerPlace};
 use crate::resp::MAX_VALUE;
 use crate::socket::Presence;
-use crate::{caches, http, origin, resp};
+use crate::{caches, http, origin, resp, stream};
 
 /// An answer that has begun and brings nothing more for this part of the longest aim will not be whole.
 const HALF_TOLD: u64 = 8;
@@ -257,8 +253,7 @@
 
 /// Whether nothing has come on a connection, neither bytes nor its end, by the machine's word.
 fn silent(stream: &TcpStream) -> bool {
-    let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
-    peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    stream::look(stream) == stream::Input::None
 }
 
 /// One connection, in its task.
@@ -276,7 +271,7 @@
     async fn run(&mut self, address: SocketAddr) -> News {
         // A machine that vanished answers nothing: the connect has a time-out of its own.
         let limit = Duration::from_micros(self.deployment.settings.connect_timeout.max(1_000));
-        let Ok(Ok(mut stream)) = tokio::time::timeout(limit, TcpStream::connect(address)).await else {
+        let Ok(Ok(stream)) = tokio::time::timeout(limit, TcpStream::connect(address)).await else {
             return News::Lost { written: false };
         };
         let _ = stream.set_nodelay(true);
@@ -295,7 +290,7 @@
                 // First: a connection that the server has ended is not written to, so that its request
                 // surely never ran.
                 biased;
-                _ = stream.read_buf(&mut buffer) => return News::Lost { written: false },
+                _ = stream::read(&stream, &mut buffer) => return News::Lost { written: false },
                 job = self.jobs.recv() => job,
             };
             let Some(Job { request, client }) = job else { return News::Lost { written: false } };
@@ -315,7 +310,7 @@
                 if rest.len() < request.len() && client.gone() {
                     return News::Lost { written: false };
                 }
-                match stream.write(rest).await {
+                match stream::write(&stream, rest).await {
                     Ok(count) if count > 0 => rest = &rest[count..],
                     _ => return News::Lost { written: false },
                 }
@@ -348,7 +343,7 @@
                     buffer.reserve(stated);
                 }
                 buffer.reserve(2048);
-                match tokio::time::timeout(patience, stream.read_buf(&mut buffer)).await {
+                match tokio::time::timeout(patience, stream::read(&stream, &mut buffer)).await {
                     Ok(Ok(count)) if count > 0 => {}
                     Ok(_) => return News::Lost { written: true },
                     Err(_) => return News::Spoilt,
--- a/src/bin/spardeal-node/upstreams/tests.rs
+++ b/src/bin/spardeal-node/upstreams/tests.rs
@@ -1,5 +1,6 @@
 //! A connection to a server in the very moment in which a request is handed to it.
 
+use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream as Peer};
 
