--- a/src/bin/spardeal-node/clients.rs
+++ b/src/bin/spardeal-node/clients.rs
@@ -56,7 +56,7 @@
 pub struct Front {
     pub deployment: Arc<Deployment>,
     pub clock: Clock,
-    pub hub: mpsc::Sender<Input>,
+    pub input_sender: mpsc::Sender<Input>,
     /// Where the node stands.
     pub phase: watch::Receiver<Phase>,
     /// The table of descriptors.
@@ -159,7 +159,7 @@
                 let place = loop {
                     let place = front.places.newcomer();
                     if front.places.servers_in_the_way() {
-                        let _ = front.hub.try_send(Input::Crowded);
+                        let _ = front.input_sender.try_send(Input::Crowded);
                     }
                     match place {
                         Some(place) => break place,
@@ -216,7 +216,7 @@
     // From here on nothing is sent on for it, also while the news of its end waits behind others.
     drop(socket);
     if slots.iter().any(Slot::open) {
-        let _ = front.hub.send(Input::ClientGone(place.id())).await;
+        let _ = front.input_sender.send(Input::ClientGone(place.id())).await;
     }
 }
 
@@ -522,7 +522,7 @@
                 let (client, presence, answers) =
                     (self.place.id(), self.socket.presence(), self.answers.clone());
                 let asked = Box::new(Asked { command, at, client, presence, slot, answers, share });
-                let _ = self.front.hub.send(Input::Asked(asked)).await;
+                let _ = self.front.input_sender.send(Input::Asked(asked)).await;
             }
         }
     }
--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -22,7 +22,7 @@
 /// Pauses before a watch on pushed lists is opened again: the first, and the longest.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 /// The longest is no more than this part of the time within which sends to a server that drains must stop:
-/// what the agent learns counts as told at once, also while no watch is open.
+/// what the agent learns counts as notified at once, also while no watch is open.
 const GRACE_PART: u32 = 4;
 /// Calls that were replaced and have not ended yet, at most: each holds a descriptor of the node's reserve.
 const MAX_REPLACED: usize = 3;
@@ -76,7 +76,7 @@
     events: mpsc::Sender<Input>,
     watch: Option<OpenCall>,
     /// Watches that the present one has replaced. They go on until it is answered: what discovery writes to them counts
-    /// as told, and the new call may wait in line or be turned away.
+    /// as notified, and the new call may wait in line or be turned away.
     replaced: VecDeque<OpenCall>,
     fetch: Option<OpenCall>,
     /// The call that was made last.
--- a/src/bin/spardeal-node/discovery/call.rs
+++ b/src/bin/spardeal-node/discovery/call.rs
@@ -19,7 +19,7 @@
 
 const CONNECT: Duration = Duration::from_secs(1);
 /// Calls wait in turn at discovery: it is given this long to begin its answer. What it has to tell counts as
-/// told six seconds after it fell silent, and the call after a silence may be silent too: with these two limits
+/// notified six seconds after it fell silent, and the call after a silence may be silent too: with these two limits
 /// there is time for a third.
 const ANSWER: Duration = Duration::from_millis(2_500);
 /// A watch brings a line every two seconds: one that is silent for longer is dead.
--- a/src/bin/spardeal-node/main.rs
+++ b/src/bin/spardeal-node/main.rs
@@ -43,7 +43,7 @@
 }
 
 async fn run(config: Config) -> std::io::Result<()> {
-    let (hub, inputs) = mpsc::channel(INPUTS);
+    let (input_sender, inputs) = mpsc::channel(INPUTS);
     let (phase_set, phase) = watch::channel(Phase::Starting);
     let clock = Clock::start();
     let places = Places::new(config.sockets);
@@ -64,7 +64,7 @@
     let front = Front {
         deployment: deployment.clone(),
         clock,
-        hub: hub.clone(),
+        input_sender: input_sender.clone(),
         phase,
         places: places.clone(),
         open,
@@ -73,16 +73,16 @@
     };
     places.listening(true);
     tokio::spawn(clients::listen(listener, Arc::new(front)));
-    let signals = hub.clone();
+    let signals = input_sender.clone();
     tokio::spawn(async move {
         let [term, int] = &mut terms;
         tokio::select! { _ = term.recv() => {}, _ = int.recv() => {} }
         let _ = signals.send(Input::Terminate).await;
     });
-    tokio::spawn(reload::follow(hangup, hub.clone()));
+    tokio::spawn(reload::follow(hangup, input_sender.clone()));
     let clients = places.clone();
     let idle = move || clients.deserted();
-    Node::new(config, deployment, clock, hub, places, memory).run(inputs, phase_set, idle).await;
+    Node::new(config, deployment, clock, input_sender, places, memory).run(inputs, phase_set, idle).await;
     Ok(())
 }
 
--- a/src/bin/spardeal-node/node.rs
+++ b/src/bin/spardeal-node/node.rs
@@ -134,7 +134,7 @@
         config: Config,
         deployment: Arc<Deployment>,
         clock: Clock,
-        hub: mpsc::Sender<Input>,
+        input_sender: mpsc::Sender<Input>,
         places: Arc<Places>,
         memory: Memory,
     ) -> Self {
@@ -147,13 +147,13 @@
             attempts: HashMap::new(),
             next: 1,
             servers: ServerTable::new(deployment.clone()),
-            pool: Pool::new(places, deployment.clone(), memory.clone(), hub.clone()),
+            pool: Pool::new(places, deployment.clone(), memory.clone(), input_sender.clone()),
             memory,
             discovery: Discovery::new(
                 config.discovery,
                 config.known.index,
                 Duration::from_micros(deployment.settings.drain_grace),
-                hub,
+                input_sender,
             ),
             known: Some(config.known),
             ends_at: None,
@@ -596,7 +596,7 @@
     }
 
     /// A list that was cut off, or of a call that another is to replace. It is not the list in force, but what it
-    /// has told of servers that drain or are gone counts as told.
+    /// has told of servers that drain or are gone counts as notified.
     fn withdraw(&mut self, listing: &Listing) {
         let changes = self.servers.withdraw(listing, self.clock.now());
         if !changes.lines.is_empty() {
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -114,7 +114,7 @@
     idle_limit: Micros,
     deployment: Arc<Deployment>,
     memory: Memory,
-    hub: mpsc::Sender<Input>,
+    input_sender: mpsc::Sender<Input>,
 }
 
 impl Pool {
@@ -123,13 +123,13 @@
         places: Arc<Places>,
         deployment: Arc<Deployment>,
         memory: Memory,
-        hub: mpsc::Sender<Input>,
+        input_sender: mpsc::Sender<Input>,
     ) -> Self {
         // Well before the server closes it: a request written to a closed connection ends as a reset, which
         // may have run and so may not be sent again.
         let idle_limit = deployment.idle_close / 2;
         let (conns, idle) = (HashMap::new(), HashMap::new());
-        Pool { conns, idle, next: 1, places, idle_limit, deployment, memory, hub }
+        Pool { conns, idle, next: 1, places, idle_limit, deployment, memory, input_sender }
     }
 
     /// An idle connection to a server for an attempt, if there is one.
@@ -166,11 +166,12 @@
         let id = self.next;
         self.next += 1;
         let (jobs, take) = mpsc::channel(1);
-        let (hub, deployment, memory) = (self.hub.clone(), self.deployment.clone(), self.memory.clone());
+        let (input_sender, deployment, memory) =
+            (self.input_sender.clone(), self.deployment.clone(), self.memory.clone());
         let task = tokio::spawn(async move {
-            let mut link = Link { id, speech, deployment, memory, jobs: take, hub };
+            let mut link = Link { id, speech, deployment, memory, jobs: take, input_sender };
             let news = link.run(address).await;
-            let _ = link.hub.send(Input::Conn(id, news)).await;
+            let _ = link.input_sender.send(Input::Conn(id, news)).await;
         });
         let task = task.abort_handle();
         let conn =
@@ -263,7 +264,7 @@
     deployment: Arc<Deployment>,
     memory: Memory,
     jobs: mpsc::Receiver<Job>,
-    hub: mpsc::Sender<Input>,
+    input_sender: mpsc::Sender<Input>,
 }
 
 impl Link {
@@ -282,7 +283,7 @@
         let mut buffer = BytesMut::new();
         let mut news = News::Up;
         loop {
-            if self.hub.send(Input::Conn(self.id, news)).await.is_err() {
+            if self.input_sender.send(Input::Conn(self.id, news)).await.is_err() {
                 return News::Lost { written: false };
             }
             buffer.reserve(2048);
--- a/src/bin/spardeal-node/upstreams/tests.rs
+++ b/src/bin/spardeal-node/upstreams/tests.rs
@@ -18,11 +18,11 @@
         let accepted = listener.accept().unwrap().0;
         accepted.set_nonblocking(true).unwrap();
         let socket = Socket::new(TcpStream::from_std(accepted).unwrap());
-        let (hub, mut inputs) = mpsc::channel(8);
+        let (input_sender, mut inputs) = mpsc::channel(8);
         let (say, jobs) = mpsc::channel(1);
         let deployment = Arc::new(spardeal::settings::read(b"{}").unwrap());
         let memory = Memory::new(64);
-        let mut link = Link { id: 1, speech: Speech::Resp, deployment, memory, jobs, hub };
+        let mut link = Link { id: 1, speech: Speech::Resp, deployment, memory, jobs, input_sender };
         let mut task = tokio::spawn(async move { link.run(address).await });
         assert!(matches!(inputs.recv().await, Some(Input::Conn(1, News::Up))));
         let mut server = listener.accept().unwrap().0;
@@ -88,9 +88,9 @@
     runtime.block_on(async {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let (hub, mut inputs) = mpsc::channel(8);
+        let (input_sender, mut inputs) = mpsc::channel(8);
         let deployment = Arc::new(spardeal::settings::read(b"{}").unwrap());
-        let mut pool = Pool::new(Places::new(256), deployment, Memory::new(64), hub);
+        let mut pool = Pool::new(Places::new(256), deployment, Memory::new(64), input_sender);
         let id = pool.open(7, address, Speech::Resp, (1, 0)).unwrap();
         assert!(matches!(inputs.recv().await, Some(Input::Conn(_, News::Up))));
         for answered in [1_000_000, 2_000_000] {
--- a/src/brain/discovery_refresh.rs
+++ b/src/brain/discovery_refresh.rs
@@ -12,15 +12,15 @@
 /// Calls are spread over this part of the time within which discovery is to be asked, for each balancer
 /// beyond those that may wait with no harm, where that is more.
 const SPREAD_PER_CROWDING_BALANCER: f64 = 1.0 / 40.0;
-/// What discovery has, and can be asked for, counts as told 6 s later, however the calls before ended. What
-/// is left of that to a call itself is enough to connect and to be served: where many call, a line costs
+/// What discovery has, and can be asked for, counts as notified 6 s later, however the calls before ended.
+/// What is left of that to a call itself is enough to connect and to be served: where many call, a line costs
 /// all the same time.
 const CALL_BY: Micros = 5_500_000;
 /// So many calls have to fit into that time, as far as discovery can serve the fleet so often: the first may
 /// fail. The spread is as long as it needs for the fleet at the least, and it may need twice as long.
 const CALLS_IN_TIME: f64 = 2.0;
 /// Calls to a discovery that moved are spread over this time at the most: what it has to tell counts as
-/// told 4 s after the move, so that there must be time left for the call itself.
+/// notified 4 s after the move, so that there must be time left for the call itself.
 const MOVED_SPREAD: f64 = 2_500_000.0;
 /// Moves that follow one another within this time are answered by one call. It is less than the 1.5 s for
 /// which the former address keeps its connections.
@@ -83,13 +83,13 @@
         }
     }
 
-    /// A list has come. All that was told before it is in force.
+    /// A list has come: all that discovery had to tell is in force.
     pub(super) fn discovery_heard(&mut self) {
         self.failed_calls = 0;
         (self.moved_at, self.call_due) = (None, None);
     }
 
-    /// What was not heard counts as told soon after a time. Calls that fail put that off no more.
+    /// What was not heard counts as notified soon after a time. Calls that fail put that off no more.
     fn call_due_by(&mut self, at: Micros) {
         self.call_due = Some(self.call_due.map_or(at, |due| due.min(at)));
     }
@@ -125,7 +125,7 @@
         let taken = failure != CallFailure::Unreachable;
         let grace = self.settings.drain_grace as f64;
         match failure {
-            // What was cut off counts as told, and the call has to wait in line within the grace.
+            // What was cut off counts as notified, and the call has to wait in line within the grace.
             CallFailure::CutOff if self.failed_calls < CUT_OFF_TRIES && self.served_again_in_time() => {
                 (0.0, spread.min(grace * GRACE_PART))
             }
@@ -152,7 +152,7 @@
         (turn - unheard).max(0.0)
     }
 
-    /// How long it is until a call has to be made since what was not heard is about to count as told. The
+    /// How long it is until a call has to be made since what was not heard is about to count as notified. The
     /// watches of a fleet may all have broken at once: even so the calls are spread.
     fn until_due(&mut self) -> f64 {
         let Some(due) = self.call_due.filter(|_| self.served_again_in_time()) else { return f64::INFINITY };
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,7 +49,7 @@
     pub(crate) call_at: Option<Micros>,
     /// When discovery first moved since a list came.
     pub(crate) moved_at: Option<Micros>,
-    /// By when a call to discovery is to be made, as what was not heard counts as told soon after.
+    /// By when a call to discovery is to be made, as what was not heard counts as notified soon after.
     pub(crate) call_due: Option<Micros>,
     /// Until then shedding over quota is not logged again.
     pub(crate) shedding_quiet_until: Micros,
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -45,7 +45,7 @@
     calls.iter().map(within).max().unwrap()
 }
 
-/// What discovery has counts as told after 6 s, of which the call itself takes a part.
+/// What discovery has counts as notified after 6 s, of which the call itself takes a part.
 const CALL_BY: Micros = 5_500 * MS;
 
 #[test]
@@ -56,7 +56,7 @@
         for (balancers, bound) in [(100, 40), (300, 90)] {
             let calls = next_calls(balancers, servers(), fails);
             let last = calls[calls.len() - 1];
-            assert!(last <= CALL_BY + MS, "{last}: later it counts as told what it was not, {fails:?}");
+            assert!(last <= CALL_BY + MS, "{last}: later it counts as notified what it was not, {fails:?}");
             assert!(most(&calls) <= bound, "{} of {balancers} within a second, {fails:?}", most(&calls));
         }
     }
@@ -127,10 +127,10 @@
     assert!(waits[0] < 150 * MS && waits[1] < 150 * MS && waits[2] > SECOND, "{waits:?}");
 }
 
-/// However often discovery turns a call away, what it has since a watch was last heard counts as told after 6 s, and after
+/// However often discovery turns a call away, what it has since a watch was last heard counts as notified after 6 s, and after
 /// a move 4 s later: a call has to be made shortly before that, and not only so long after the one before.
 #[test]
-fn a_small_fleet_calls_shortly_before_what_it_has_not_heard_counts_as_told() {
+fn a_small_fleet_calls_shortly_before_what_it_has_not_heard_counts_as_notified() {
     let failures = [(CallFailure::Silent, 2_500 * MS), (CallFailure::Failed, 0), (CallFailure::CutOff, 0)];
     for (balancers, me) in [(1, 0), (3, 1), (6, 0), (6, 3), (9, 7)] {
         for seed in 1..40 {
@@ -168,7 +168,7 @@
     calls
 }
 
-/// A watch that breaks in the middle of a list, or is reset, may have taken news with it that counts as told once it was
+/// A watch that breaks in the middle of a list, or is reset, may have taken news with it that counts as notified once it was
 /// written. There is the grace of a drain for another call and its wait in line.
 #[test]
 fn after_a_watch_that_was_cut_off_a_small_fleet_calls_again_well_within_the_grace_of_a_drain() {
@@ -208,7 +208,7 @@
     let many = calls(300);
     let most = many.iter().map(|from| many.iter().filter(|at| (*from..from + 250 * MS).contains(at)).count());
     assert!(most.max().unwrap() < 60, "of 300, a tenth of the time each");
-    assert!(many[299] <= 2_500 * MS + MS, "what it tells counts as told after 4 s: {many:?}");
+    assert!(many[299] <= 2_500 * MS + MS, "what it tells counts as notified after 4 s: {many:?}");
     assert!(calls(2)[1] <= 100 * MS, "two have no need to wait");
 }
 
--- a/tests/discovery_moves.rs
+++ b/tests/discovery_moves.rs
@@ -4,7 +4,7 @@
 //! six nodes. Reads went to the draining servers after the grace. Calls that had failed in the outage made the pauses
 //! of later ones longer, up to 4.5 s, and a discovery that takes 263 ms for a call turns some away when six nodes call
 //! within half a second: one such refusal at the wrong time, and the next call came when the drain had long counted as
-//! told. Played here with the figures of that day, the last node knew up to 2.7 s too late in 9 of 400 plays, and up to
+//! notified. Played here with the figures of that day, the last node knew up to 2.7 s too late in 9 of 400 plays, and up to
 //! 8.3 s too late in 134 of 400 where discovery lets a call wait before it turns it away.
 #![allow(missing_docs)]
 
@@ -23,9 +23,9 @@
 const MOVES: [Micros; 4] = [0, 300 * MS, 700 * MS, 1_600 * MS];
 /// Where discovery was before a move its connections stay open for so long.
 const STAYS_OPEN: Micros = 1_500 * MS;
-/// What discovery has counts as told so long after it could be asked for it, and after a signal.
-const TOLD_AFTER: Micros = 6 * SECOND;
-const TOLD_AFTER_SIGNAL: Micros = 4 * SECOND;
+/// What discovery has counts as notified so long after it could be asked for it, and after a signal.
+const NOTIFIED_AFTER: Micros = 6 * SECOND;
+const NOTIFIED_AFTER_SIGNAL: Micros = 4 * SECOND;
 /// Sends to a draining server must have stopped so long after that.
 const GRACE: Micros = SECOND;
 
@@ -79,8 +79,8 @@
     current: Option<Call>,
     /// Calls that it has replaced.
     former: Vec<Call>,
-    /// When it was told of the drain.
-    told: Option<Micros>,
+    /// When it was notified of the drain.
+    notified: Option<Micros>,
 }
 
 impl Balancer {
@@ -94,7 +94,7 @@
         node.actions.clear();
         node.event(Event::DiscoveryFailed { failure: CallFailure::Failed, unheard: 0 });
         let moves = MOVES.map(|after| first_move + after).to_vec();
-        Balancer { node, moves, current: None, former: Vec::new(), told: None }
+        Balancer { node, moves, current: None, former: Vec::new(), notified: None }
     }
 
     /// Lets time pass until an instant, at which servers have been draining since another.
@@ -114,8 +114,8 @@
         let open = |call: &Call| call.moved.is_none_or(|at| now < at + STAYS_OPEN);
         self.former.retain(open);
         let tells = |call: &Call| call.served && call.ends <= now && open(call) && now >= drains;
-        if self.told.is_none() && self.former.iter().chain(&self.current).any(tells) {
-            self.told = Some(now);
+        if self.notified.is_none() && self.former.iter().chain(&self.current).any(tells) {
+            self.notified = Some(now);
         }
         let Some(call) = self.current.as_ref().filter(|call| call.ends == now) else { return };
         if call.served && open(call) {
@@ -128,7 +128,7 @@
     }
 }
 
-/// By how much the balancer that is told last is told too late; 0 if all are told in time.
+/// By how much the balancer that is notified last is notified too late; 0 if all are in time.
 fn late(balancers: u32, seed: u64, outage: Micros, service: Micros, crowded: Crowded) -> Micros {
     let back = DOWN + outage;
     let drains = back + 1_600 * MS;
@@ -137,13 +137,13 @@
     let mut fleet: Vec<_> =
         (0..balancers).map(|me| Balancer::start(balancers, me, seed, first_move(me))).collect();
     let mut now = DOWN;
-    while fleet.iter().any(|balancer| balancer.told.is_none()) && now < drains + 60 * SECOND {
+    while fleet.iter().any(|balancer| balancer.notified.is_none()) && now < drains + 60 * SECOND {
         now += MS;
         fleet.iter_mut().for_each(|balancer| balancer.pass(now, drains, &mut discovery));
     }
     let late = |(me, balancer): (usize, &Balancer)| {
-        let counts = (drains + TOLD_AFTER).min(first_move(me as u32) + TOLD_AFTER_SIGNAL);
-        balancer.told.unwrap_or(now).saturating_sub(counts + GRACE)
+        let counts = (drains + NOTIFIED_AFTER).min(first_move(me as u32) + NOTIFIED_AFTER_SIGNAL);
+        balancer.notified.unwrap_or(now).saturating_sub(counts + GRACE)
     };
     fleet.iter().enumerate().map(late).max().unwrap()
 }
--- a/tests/node/drain.rs
+++ b/tests/node/drain.rs
@@ -145,7 +145,7 @@
 //     7.911 discovery turned a call away, or the watch broke: asking again in 4499 ms
 //     12.689 server list version 1 (Full): s-4b589698 draining, s-53a634b0 draining, s-9bafd031 draining
 //
-// What discovery has counts as told 4 s after the signal, and 6 s after it was there to be asked for. One refusal
+// What discovery has counts as notified 4 s after the signal, and 6 s after it was there to be asked for. One refusal
 // more at 12.4 s would have been one too many.
 #[test]
 fn a_node_that_was_turned_away_in_an_outage_learns_of_a_drain_in_time_after_a_move() {
@@ -167,7 +167,7 @@
 }
 
 // New configurations came 0.3 s apart, and each time the call that was under way, or the watch that stood, was broken
-// off as the next call was made. What discovery wrote to them in that moment was lost, though it counts as told, and the
+// off as the next call was made. What discovery wrote to them in that moment was lost, though it counts as notified, and the
 // next call waited in line for up to 0.9 s or was turned away. A node's log has its answers at 89.5, 90.5 and 91.4 s,
 // each to another address, and nothing in between.
 #[test]
@@ -210,7 +210,7 @@
     assert_eq!(read_from_first(&node), 40, "the former discovery's view is no longer in force");
 }
 
-// What discovery writes counts as told whether or not it arrives whole. A list that a reset or an end cut off was thrown
+// What discovery writes counts as notified whether or not it arrives whole. A list that a reset or an end cut off was thrown
 // away with the drains that had come, and the next call was made after the pause that a refusal gets, 0.3 to 0.9 s, with
 // its own wait in line behind it.
 #[test]
