--- a/tests/node/drain.rs
+++ b/tests/node/drain.rs
@@ -8,7 +8,7 @@
 use socket2::SockRef;
 
 use crate::stand_in::*;
-use crate::{no_origin, pair, quiet, trio};
+use crate::{connecting, no_origin, trio};
 
 /// What discovery does on a connection, one step after the other. The connection stays open behind the last.
 pub enum Step {
@@ -105,6 +105,16 @@
         Node::start_in(discovery, &self.known(), (256, 16), "", &fleet_of_six())
     }
 
+    /// A node whose watch tells of the drain once something is sent, and the calls to its discovery from then on.
+    fn start_watching(&self) -> (Node, Sender<()>, Receiver<String>) {
+        let (go, drains) = channel();
+        let watch = vec![Step::Say(watch_head()), Step::Idle(drains), Step::Say(self.drain())];
+        let (discovery, calls) = scripted(vec![watch]);
+        let node = self.start(discovery);
+        calls.recv_timeout(LONG).expect("the watch");
+        (node, go, calls)
+    }
+
     /// What changes when the first server begins to drain.
     fn drain(&self) -> Vec<u8> {
         chunk(&listing(6, false, &[entry("s-1", self.first.address, "std", "leaving")]))
@@ -173,11 +183,7 @@
 #[test]
 fn a_watch_tells_of_a_drain_until_the_call_that_replaces_it_is_answered() {
     let fleet = Fleet::new();
-    let (go, drains) = channel();
-    let (old, old_calls) =
-        scripted(vec![vec![Step::Say(watch_head()), Step::Idle(drains), Step::Say(fleet.drain())]]);
-    let node = fleet.start(old);
-    old_calls.recv_timeout(LONG).expect("the watch");
+    let (node, go, _old_calls) = fleet.start_watching();
     let (new, new_calls) = scripted(vec![Vec::new()]);
     node.reload(Ok(new));
     new_calls.recv_timeout(LONG).expect("the call after the move");
@@ -190,11 +196,7 @@
 #[test]
 fn a_watch_tells_nothing_any_more_once_the_call_that_replaces_it_is_answered() {
     let fleet = Fleet::new();
-    let (go, drains) = channel();
-    let (old, old_calls) =
-        scripted(vec![vec![Step::Say(watch_head()), Step::Idle(drains), Step::Say(fleet.drain())]]);
-    let node = fleet.start(old);
-    old_calls.recv_timeout(LONG).expect("the watch");
+    let (node, go, old_calls) = fleet.start_watching();
     let entries = [
         entry("s-1", fleet.first.address, "std", "active"),
         entry("s-2", fleet.second.address, "std", "leaving"),
@@ -314,16 +316,8 @@
 #[test]
 fn a_server_that_moves_while_a_connection_to_it_comes_up_gets_nothing_written_at_its_former_address() {
     let crowded = Crowded::new();
-    let (second, origin) = (cache(|_| Act::Say(hit("second"))), no_origin());
-    let (discovery, say, _calls) = quiet();
-    let known = pair(crowded.address, origin.address);
-    let node = Node::start_in(discovery, &known, (256, 16), "", &patient());
-    let mut client = node.client();
-    client.send(&patient_get("aa", "1"));
-    // Behind it on the same connection, so that the node has begun to connect for the first once this is at the origin.
-    client.send(&put("bb", "3", "v"));
-    assert_eq!(origin.next().words[0], "PUT /bb HTTP/1.1");
-    client.out.set_read_timeout(Some(3 * LONG)).unwrap();
+    let second = cache(|_| Act::Say(hit("second")));
+    let (node, say, mut client) = connecting(&crowded);
     let moved = entry("s-1", second.address, "std", "active");
     say.send(chunk(&listing(6, false, &[moved]))).unwrap();
     let mut lines = std::iter::from_fn(|| node.log.recv_timeout(LONG).ok());
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -403,10 +403,9 @@
     }
 }
 
-#[test]
-fn a_server_told_to_drain_while_a_connection_to_it_comes_up_gets_nothing_written_to_it() {
-    let crowded = Crowded::new();
-    let (second, origin) = (cache(|_| Act::Say(hit("second"))), no_origin());
+/// A node that has begun to connect to a crowded cache server for a client's read, and what tells it of changes.
+fn connecting(crowded: &Crowded) -> (Node, std::sync::mpsc::Sender<Vec<u8>>, Client) {
+    let origin = no_origin();
     let (discovery, say, _calls) = quiet();
     let known = pair(crowded.address, origin.address);
     let node = Node::start_in(discovery, &known, (256, 16), "", &patient());
@@ -416,6 +415,14 @@
     client.send(&put("bb", "3", "v"));
     assert_eq!(origin.next().words[0], "PUT /bb HTTP/1.1");
     client.out.set_read_timeout(Some(3 * LONG)).unwrap();
+    (node, say, client)
+}
+
+#[test]
+fn a_server_told_to_drain_while_a_connection_to_it_comes_up_gets_nothing_written_to_it() {
+    let crowded = Crowded::new();
+    let second = cache(|_| Act::Say(hit("second")));
+    let (node, say, mut client) = connecting(&crowded);
     let drains = entry("s-1", crowded.address, "std", "leaving");
     let joins = entry("s-2", second.address, "std", "active");
     say.send(chunk(&listing(6, false, &[drains, joins]))).unwrap();
