Use one word for a look at a socket's input and one for the sender of inputs

Cause: on reading the whole change again: Presence had an enum of the same three states as stream::Input, whose name is also that of the event loop's inputs; the sender of inputs had two names; Discovery::fetch built its call beside next_call; and the log said of each answer that ended early that a list was cut off, where an answer or a reset watch was.

Change: stream::Peeked serves both; input_sender everywhere; call_here builds each call; values of discovery_moved are made where they are used.

--- a/src/bin/spardeal-node/discovery.rs
+++ b/src/bin/spardeal-node/discovery.rs
@@ -73,7 +73,7 @@
     moved: Option<SocketAddr>,
     /// Version of the list held.
     index: Arc<AtomicU64>,
-    events: mpsc::Sender<Input>,
+    input_sender: mpsc::Sender<Input>,
     watch: Option<OpenCall>,
     /// Watches that the present one has replaced. They go on until it is answered: what discovery writes to them counts
     /// as notified, and the new call may wait in line or be turned away.
@@ -89,12 +89,17 @@
 impl Discovery {
     /// Discovery at an address, where a list of a version is held; sends to servers that drain must stop within
     /// a grace.
-    pub fn new(address: SocketAddr, index: u64, drain_grace: Duration, events: mpsc::Sender<Input>) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        index: u64,
+        drain_grace: Duration,
+        input_sender: mpsc::Sender<Input>,
+    ) -> Self {
         Discovery {
             address,
             moved: None,
             index: Arc::new(AtomicU64::new(index)),
-            events,
+            input_sender,
             watch: None,
             replaced: VecDeque::new(),
             fetch: None,
@@ -158,8 +163,7 @@
     pub fn subscribe(&mut self, on: bool) {
         let call = self.next_call();
         if !on {
-            (self.watch, self.replaced) = (None, VecDeque::new());
-            return;
+            return self.replaced.clear();
         }
         let (id, index) = (call.id, self.index.clone());
         let call = call.begin();
@@ -168,9 +172,8 @@
 
     /// Asks for the whole list once.
     pub fn fetch(&mut self) {
-        let id = self.next_id();
-        let call = Call::new(id, self.address, self.events.clone());
-        self.fetch = Some(open(id, call.fetch()));
+        let call = self.call_here();
+        self.fetch = Some(open(call.id, call.begin().fetch()));
     }
 
     /// Where lists are pushed, an agent on this machine has them: its watch is opened again by itself.
@@ -202,12 +205,13 @@
         if let Some(address) = self.moved.take() {
             (self.address, self.index, self.fetch) = (address, Arc::default(), None);
         }
-        NextCall { id: self.next_id(), address: self.address, events: self.events.clone() }
+        self.call_here()
     }
 
-    fn next_id(&mut self) -> CallId {
+    /// A call to where discovery was called last.
+    fn call_here(&mut self) -> NextCall {
         self.last += 1;
-        self.last
+        NextCall { id: self.last, address: self.address, input_sender: self.input_sender.clone() }
     }
 }
 
@@ -215,12 +219,12 @@
 struct NextCall {
     id: CallId,
     address: SocketAddr,
-    events: mpsc::Sender<Input>,
+    input_sender: mpsc::Sender<Input>,
 }
 
 impl NextCall {
     fn begin(&self) -> Call {
-        Call::new(self.id, self.address, self.events.clone())
+        Call::new(self.id, self.address, self.input_sender.clone())
     }
 }
 
--- a/src/bin/spardeal-node/discovery/call.rs
+++ b/src/bin/spardeal-node/discovery/call.rs
@@ -41,7 +41,7 @@
     Status(u16),
     /// It brought what is no list; the list held stays in force.
     Malformed,
-    /// It ended in a list.
+    /// Its answer ended before it was whole, perhaps in a list.
     CutOff,
 }
 
@@ -53,7 +53,7 @@
             CallError::Silent => write!(f, "silent for too long"),
             CallError::Status(status) => write!(f, "answered with status {status}"),
             CallError::Malformed => write!(f, "brought no list"),
-            CallError::CutOff => write!(f, "brought a list that was cut off"),
+            CallError::CutOff => write!(f, "its answer was cut off"),
         }
     }
 }
@@ -94,7 +94,7 @@
 pub struct Call {
     id: CallId,
     address: SocketAddr,
-    events: mpsc::Sender<Input>,
+    input_sender: mpsc::Sender<Input>,
     /// Until when all that discovery had to tell has been heard.
     heard: Instant,
     /// Whether anything has been heard.
@@ -103,8 +103,8 @@
 
 impl Call {
     /// A call that begins now.
-    pub fn new(id: CallId, address: SocketAddr, events: mpsc::Sender<Input>) -> Self {
-        Call { id, address, events, heard: Instant::now(), answered: false }
+    pub fn new(id: CallId, address: SocketAddr, input_sender: mpsc::Sender<Input>) -> Self {
+        Call { id, address, input_sender, heard: Instant::now(), answered: false }
     }
 
     /// Opens a watch on what changes after a version, and reports how it ended.
@@ -132,7 +132,7 @@
     }
 
     async fn report(&self, news: CallNews) {
-        let _ = self.events.send(Input::Discovery(self.id, news)).await;
+        let _ = self.input_sender.send(Input::Discovery(self.id, news)).await;
     }
 
     /// Logs how the call ended, and tells as much as matters for the next.
--- a/src/bin/spardeal-node/reload.rs
+++ b/src/bin/spardeal-node/reload.rs
@@ -17,10 +17,10 @@
 const MAX_READS: u32 = 20;
 
 /// Passes each new configuration on, for as long as there are signals. An old one stays in force until then.
-pub async fn follow(mut signals: Signal, events: mpsc::Sender<Input>) {
+pub async fn follow(mut signals: Signal, input_sender: mpsc::Sender<Input>) {
     while signals.recv().await.is_some() {
         if let Some(config) = read(&mut signals).await {
-            let _ = events.send(Input::Reload(Box::new(config))).await;
+            let _ = input_sender.send(Input::Reload(Box::new(config))).await;
         }
     }
 }
--- a/src/bin/spardeal-node/socket.rs
+++ b/src/bin/spardeal-node/socket.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::stream::{self, Input};
+use crate::stream::{self, Peeked};
 
 /// Input is read in pieces of this size; a command that is longer has to wait for memory.
 pub const PIECE: usize = 4096;
@@ -95,7 +95,9 @@
         let read = stream::read_now(&self.stream, piece);
         // Less than was asked for need not be all there was: urgent data or a signal can end a read early.
         self.unread = match &read {
-            Ok(count) => self.ended() || *count == piece.len() || stream::look(&self.stream) != Input::None,
+            Ok(count) => {
+                self.ended() || *count == piece.len() || stream::peek(&self.stream) != Peeked::Nothing
+            }
             Err(_) => false,
         };
         take(&piece[..*read.as_ref().unwrap_or(&0)]);
@@ -143,34 +145,21 @@
 #[derive(Clone, Debug)]
 pub struct Presence(Weak<TcpStream>);
 
-/// What a look at a client's connection shows.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Seen {
-    Here,
-    /// It is open as far as can be seen; its end may lie behind input that was not read.
-    Unread,
-    Gone,
-}
-
 impl Presence {
-    fn look(&self) -> Seen {
+    fn look(&self) -> Peeked {
         // A connection that has ended with a request open has lost its client.
-        let Some(stream) = self.0.upgrade() else { return Seen::Gone };
+        let Some(stream) = self.0.upgrade() else { return Peeked::Ended };
         // An end behind unread input is in what the runtime has last heard of the machine ...
         if told_of_end(&stream) {
-            return Seen::Gone;
+            return Peeked::Ended;
         }
         // ... and one behind nothing in what it says now.
-        match stream::look(&stream) {
-            Input::None => Seen::Here,
-            Input::Unread => Seen::Unread,
-            Input::Ended => Seen::Gone,
-        }
+        stream::peek(&stream)
     }
 
     /// Whether the client is known to have gone.
     pub fn gone(&self) -> bool {
-        self.look() == Seen::Gone
+        self.look() == Peeked::Ended
     }
 
     /// Whether the client has gone, once its input has been read, or after a moment.
@@ -180,11 +169,11 @@
         let mut pause = Duration::ZERO;
         loop {
             match self.look() {
-                Seen::Gone => return true,
-                Seen::Here => return false,
-                Seen::Unread if Instant::now() >= by => return false,
-                Seen::Unread if pause.is_zero() => tokio::task::yield_now().await,
-                Seen::Unread => tokio::time::sleep(pause).await,
+                Peeked::Ended => return true,
+                Peeked::Nothing => return false,
+                Peeked::Unread if Instant::now() >= by => return false,
+                Peeked::Unread if pause.is_zero() => tokio::task::yield_now().await,
+                Peeked::Unread => tokio::time::sleep(pause).await,
             }
             pause = Duration::from_millis(1);
         }
--- a/src/bin/spardeal-node/stream.rs
+++ b/src/bin/spardeal-node/stream.rs
@@ -53,22 +53,22 @@
 
 /// What a look at the input of a connection shows.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Input {
+pub enum Peeked {
     /// Nothing has come that was not read.
-    None,
-    /// Something has come.
+    Nothing,
+    /// Something has come; an end may lie behind it.
     Unread,
     /// The other side sends no more, or has reset the connection.
     Ended,
 }
 
 /// Looks, by the machine's word, at what was not read yet.
-pub fn look(stream: &TcpStream) -> Input {
+pub fn peek(stream: &TcpStream) -> Peeked {
     match uninterrupted(|| SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])) {
-        Ok(0) => Input::Ended,
-        Ok(_) => Input::Unread,
-        Err(e) if e.kind() == ErrorKind::WouldBlock => Input::None,
-        Err(_) => Input::Ended,
+        Ok(0) => Peeked::Ended,
+        Ok(_) => Peeked::Unread,
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Peeked::Nothing,
+        Err(_) => Peeked::Ended,
     }
 }
 
--- a/src/bin/spardeal-node/upstreams.rs
+++ b/src/bin/spardeal-node/upstreams.rs
@@ -18,7 +18,8 @@
 use crate::places::{Places, ServerPlace};
 use crate::resp::MAX_VALUE;
 use crate::socket::Presence;
-use crate::{caches, http, origin, resp, stream};
+use crate::stream::{self, Peeked};
+use crate::{caches, http, origin, resp};
 
 /// An answer that has begun and brings nothing more for this part of the longest aim will not be whole.
 const HALF_TOLD: u64 = 8;
@@ -254,7 +255,7 @@
 
 /// Whether nothing has come on a connection, neither bytes nor its end, by the machine's word.
 fn silent(stream: &TcpStream) -> bool {
-    stream::look(stream) == stream::Input::None
+    stream::peek(stream) == Peeked::Nothing
 }
 
 /// One connection, in its task.
--- a/src/brain/discovery_refresh.rs
+++ b/src/brain/discovery_refresh.rs
@@ -73,14 +73,13 @@
         };
         // Configurations that follow one another would each cost discovery a call in vain: the call waits for
         // the last of them, as long as there is time.
+        if !self.served_again_in_time() {
+            return self.call_after(spread as Micros);
+        }
         let settled = MOVES_SETTLE as f64 + spread;
         let latest = (first_move + MOVED_SPREAD as Micros).saturating_sub(self.now) as f64;
-        if self.served_again_in_time() {
-            self.call_at = None;
-            self.call_after(settled.min(latest - spread).max(0.0) as Micros);
-        } else {
-            self.call_after(spread as Micros);
-        }
+        self.call_at = None;
+        self.call_after(settled.min(latest - spread).max(0.0) as Micros);
     }
 
     /// A list has come: all that discovery had to tell is in force.
@@ -89,7 +88,7 @@
         (self.moved_at, self.call_due) = (None, None);
     }
 
-    /// What was not heard counts as notified soon after a time. Calls that fail put that off no more.
+    /// What was not heard counts as notified soon after a time. A call that fails does not put that off.
     fn call_due_by(&mut self, at: Micros) {
         self.call_due = Some(self.call_due.map_or(at, |due| due.min(at)));
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -241,7 +241,7 @@
     Unreachable,
     /// Discovery took it, and turned it away or broke it off. It cost as much as one that is served.
     Failed,
-    /// Its answer broke off where news may have been lost: in a list, or by a reset of a watch.
+    /// Its answer ended before it was whole, or its watch was reset: news may have been lost.
     CutOff,
     /// Discovery took it and has been silent for too long since.
     Silent,
