--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -6,6 +6,7 @@
 //! run.
 
 mod endless_answers;
+mod gate_leak;
 mod no_length;
 mod restart_and_drain;
 
@@ -483,6 +484,7 @@
         "endless-answers" => endless_answers::run(),
         "restart-and-drain" => restart_and_drain::run(),
         "no-length" => no_length::run(),
+        "gate-leak" => gate_leak::run(),
         _ => Err(format!("there is no case {case}")),
     };
     let (text, status) = match verdict {
