--- a/review/stand_ins/gate_leak.rs
+++ b/review/stand_ins/gate_leak.rs
@@ -8,14 +8,14 @@
 
 const CACHE_SERVERS: u64 = 8;
 /// Number of clients that send several commands at once.
-const CLIENTS: u64 = 8;
+const CLIENTS: u64 = 10;
 /// Number of commands that such a client sends at once, after the answer to a first one.
 const COMMANDS_AT_ONCE: u64 = 60;
 /// With the disruption, a client leaves after this long, and up to `LEAVES_WITHIN` later.
 const LEAVES_AFTER: Duration = Duration::from_millis(20);
 const LEAVES_WITHIN: Duration = Duration::from_millis(40);
 /// Time from the end of a client's connection to its next one.
-const PAUSE: Duration = Duration::from_millis(20);
+const PAUSE: Duration = Duration::from_millis(10);
 /// Time for which these clients play at most.
 const PLAY_TIME: Duration = Duration::from_secs(85);
 /// The play ends early if the origin has got nothing for this long.
