--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -218,8 +218,10 @@
 
     /// Sends SIGTERM and waits until the process has ended, at most as long as the platform does.
     fn terminate_and_wait(&mut self) -> Result<(), String> {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &pid]).status().map_err(|e| e.to_string())?;
+        let pid = self.child.id();
+        // The shell's own `kill`, so that no further program has to be installed.
+        let sent = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {pid}")]).status();
+        let sent = sent.map_err(|e| e.to_string())?;
         if !sent.success() {
             return Err("SIGTERM could not be sent".into());
         }
