Log when the event loop is held up, and why a reply is discarded

Change: a line when a timer is late by 250 ms or more, and a line for each reply that cannot be used with its reason (invalid, too long, stalled).

--- a/src/bin/pondproxy-node/cache_protocol.rs
+++ b/src/bin/pondproxy-node/cache_protocol.rs
@@ -34,7 +34,7 @@
     load_names: &[String],
     max_value_bytes: usize,
 ) -> Result<Option<ServerReply>, MalformedReply> {
-    let Some(value) = resp::take_value(buffer, max_value_bytes).map_err(|_| MalformedReply)? else {
+    let Some(value) = resp::take_value(buffer, max_value_bytes).map_err(|_| MalformedReply::Invalid)? else {
         return Ok(None);
     };
     let empty_reply = |status| ServerReply {
@@ -49,7 +49,7 @@
             let Ok([Value::Bulk(value), Value::Bulk(lookup_word), Value::Bulk(report)]) =
                 <[Value; 3]>::try_from(items)
             else {
-                return Err(MalformedReply);
+                return Err(MalformedReply::Invalid);
             };
             // A load report or lookup that cannot be parsed counts as not reported; the reply is still valid.
             let to_text = |text: &Option<Bytes>| {
@@ -61,19 +61,19 @@
             ServerReply { lookup, load, value, ..empty_reply(status) }
         }
         Value::Error(line) => {
-            let line = std::str::from_utf8(&line).map_err(|_| MalformedReply)?;
+            let line = std::str::from_utf8(&line).map_err(|_| MalformedReply::Invalid)?;
             let status = match line.split(' ').next() {
-                _ if line.chars().any(char::is_control) => return Err(MalformedReply),
+                _ if line.chars().any(char::is_control) => return Err(MalformedReply::Invalid),
                 Some("BUSY") => Status::Rejected,
                 Some("ERR") => Status::Error,
-                _ => return Err(MalformedReply),
+                _ => return Err(MalformedReply::Invalid),
             };
             // The last word of an error may be a load report.
             let last_word = line.rsplit(' ').next().unwrap_or("");
             ServerReply { load: parse_load_report(last_word, load_names), ..empty_reply(status) }
         }
         // Not part of the protocol: no later input of this connection can be matched to a request.
-        _ => return Err(MalformedReply),
+        _ => return Err(MalformedReply::Invalid),
     }))
 }
 
--- a/src/bin/pondproxy-node/event_loop.rs
+++ b/src/bin/pondproxy-node/event_loop.rs
@@ -24,7 +24,9 @@
 use crate::discovery::{CallEvent, CallId, Discovery, ListUpdate};
 use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::server_table::ServerTable;
-use crate::upstream_pool::{AttemptId, ConnEvent, ConnId, Protocol, ServerReply, UpstreamPool};
+use crate::upstream_pool::{
+    AttemptId, ConnEvent, ConnId, MalformedReply, Protocol, ServerReply, UpstreamPool,
+};
 use crate::{cache_protocol, log, origin_protocol, resp};
 
 /// An input of the event loop.
@@ -83,6 +85,8 @@
 /// Interval between drain checks.
 const DRAIN_CHECK_INTERVAL_US: Micros = 10_000;
 const IDLE_SWEEP_INTERVAL_US: Micros = 1_000_000;
+/// Lateness of a timer from which on the event loop logs that it was held up.
+const LATE_TIMER_LOG_THRESHOLD_US: Micros = 250_000;
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum NodeTimer {
@@ -210,6 +214,7 @@
                 });
             }
             let now = self.clock.now();
+            self.log_late_timers(now);
             while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
                 let Some(Reverse((_, timer))) = self.timers.pop() else { break };
                 match timer {
@@ -240,6 +245,14 @@
         }
     }
 
+    /// Logs if the timer that is due first is far past its time: the node's only thread was held up.
+    fn log_late_timers(&self, now: Micros) {
+        let lateness_us = self.timers.peek().map_or(0, |Reverse((due_at, _))| now.saturating_sub(*due_at));
+        if lateness_us >= LATE_TIMER_LOG_THRESHOLD_US {
+            log(&format!("event loop held up: a timer is late by {} ms", lateness_us / 1_000));
+        }
+    }
+
     fn handle_event(&mut self, event: NodeEvent) {
         match event {
             NodeEvent::Request(client_request) => self.handle_request(*client_request),
@@ -553,7 +566,8 @@
                 }
                 self.end_attempt_with_reply(attempt_id, reply);
             }
-            (ConnEvent::Malformed, Some(attempt_id)) => {
+            (ConnEvent::Malformed(reason), Some(attempt_id)) => {
+                self.log_malformed_reply(attempt_id, reason);
                 self.record_server_answer(attempt_id);
                 self.pool.close(conn_id);
                 self.end_attempt(attempt_id, Status::Malformed);
@@ -561,12 +575,21 @@
             (ConnEvent::Failed { written }, Some(attempt_id)) => {
                 self.handle_connection_loss(attempt_id, conn_id, written)
             }
-            (ConnEvent::Failed { .. } | ConnEvent::Malformed, None) => self.pool.close(conn_id),
+            (ConnEvent::Failed { .. } | ConnEvent::Malformed(_), None) => self.pool.close(conn_id),
             (_, None) => {}
         }
         self.process_queued_events();
     }
 
+    fn log_malformed_reply(&self, attempt_id: AttemptId, reason: MalformedReply) {
+        let open_request = self.open_requests.get(&attempt_id.0);
+        let id =
+            open_request.map_or("".into(), |open_request| String::from_utf8_lossy(&open_request.command.id));
+        let server = self.attempts.get(&attempt_id).and_then(|attempt| self.servers.get(attempt.server));
+        let name = server.map_or("", |server| &server.name);
+        log(&format!("request {id}: reply of {name} to attempt {} discarded: {reason}", attempt_id.1));
+    }
+
     /// Records that the server of an attempt has answered, whatever the answer.
     fn record_server_answer(&mut self, attempt_id: AttemptId) {
         if let Some(attempt) = self.attempts.get(&attempt_id) {
--- a/src/bin/pondproxy-node/origin_protocol.rs
+++ b/src/bin/pondproxy-node/origin_protocol.rs
@@ -42,28 +42,32 @@
     let mut interim_bytes = 0;
     let mut allowed_heads = 0..=MAX_INTERIM_RESPONSES;
     let head = loop {
-        allowed_heads.next().ok_or(MalformedReply)?;
-        let Some(head) = http::head(&buffer[interim_bytes..]).map_err(|_| MalformedReply)? else {
+        allowed_heads.next().ok_or(MalformedReply::TooLong)?;
+        let Some(head) = http::head(&buffer[interim_bytes..]).map_err(|_| MalformedReply::Invalid)? else {
             return Ok(None);
         };
         match head.status {
             100 | 102..200 => interim_bytes += head.length,
             200.. => break head,
             // No request asks for another protocol (101), and there are no status codes below 100.
-            _ => return Err(MalformedReply),
+            _ => return Err(MalformedReply::Invalid),
         }
     };
     let body_start = interim_bytes + head.length;
     let mut keep_alive = !head.close;
     let value = if head.chunked {
         let (mut rest, mut body) = (BytesMut::from(&buffer[body_start..]), BytesMut::new());
-        if !ChunkedDecoder::default().decode(&mut rest, &mut body).map_err(|_| MalformedReply)? {
-            return if rest.len() + body.len() > 2 * max_body_bytes { Err(MalformedReply) } else { Ok(None) };
+        if !ChunkedDecoder::default().decode(&mut rest, &mut body).map_err(|_| MalformedReply::Invalid)? {
+            return if rest.len() + body.len() > 2 * max_body_bytes {
+                Err(MalformedReply::TooLong)
+            } else {
+                Ok(None)
+            };
         }
         // Trailers are not parsed, so later input could not be told from them.
         keep_alive = false;
         if body.len() > max_body_bytes {
-            return Err(MalformedReply);
+            return Err(MalformedReply::TooLong);
         }
         buffer.clear();
         body.freeze()
@@ -76,7 +80,7 @@
                 keep_alive = false;
                 0
             }
-            _ => return Err(MalformedReply),
+            _ => return Err(MalformedReply::Invalid),
         };
         if buffer.len() < body_start + length {
             return Ok(None);
--- a/src/bin/pondproxy-node/server_table.rs
+++ b/src/bin/pondproxy-node/server_table.rs
@@ -18,7 +18,7 @@
 
 /// A listed server.
 pub struct Server {
-    name: Box<str>,
+    pub name: Box<str>,
     pub address: SocketAddr,
     pub protocol: Protocol,
     /// The latest entry that was passed to the decision module.
--- a/src/bin/pondproxy-node/upstream_pool.rs
+++ b/src/bin/pondproxy-node/upstream_pool.rs
@@ -45,9 +45,26 @@
 /// Identifies an attempt: its request and its number.
 pub type AttemptId = (RequestId, u16);
 
-/// A server sent a reply that cannot be parsed; its connection cannot be used further.
+/// Why a server's reply cannot be used. Its connection cannot carry another request.
 #[derive(Debug, PartialEq, Clone, Copy)]
-pub struct MalformedReply;
+pub enum MalformedReply {
+    /// The reply violates its protocol, or states no length where one is needed.
+    Invalid,
+    /// The reply is longer than the node accepts.
+    TooLong,
+    /// The rest of the reply did not arrive in time.
+    Stalled,
+}
+
+impl std::fmt::Display for MalformedReply {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            MalformedReply::Invalid => write!(f, "invalid"),
+            MalformedReply::TooLong => write!(f, "too long"),
+            MalformedReply::Stalled => write!(f, "its rest did not arrive in time"),
+        }
+    }
+}
 
 /// A parsed reply of a cache server or the origin.
 #[derive(Debug, PartialEq)]
@@ -69,7 +86,7 @@
     Reply(ServerReply),
     /// The server sent a reply that cannot be parsed, or did not send the rest of one in time. The request
     /// may have been executed, and the server is reachable.
-    Malformed,
+    Malformed(MalformedReply),
     /// The request was not written because its client has disconnected. The connection can carry another
     /// request.
     NotSent,
@@ -384,7 +401,7 @@
                 match decoded {
                     Ok(Some(reply)) => break reply,
                     Ok(None) => {}
-                    Err(MalformedReply) => return ConnEvent::Malformed,
+                    Err(e) => return ConnEvent::Malformed(e),
                 }
                 // Long replies may together exceed the memory budget, so each waits for its reservation.
                 if buffer.len() > UNRESERVED_REPLY_BYTES && reservation.is_none() {
@@ -403,7 +420,7 @@
                 match tokio::time::timeout(read_timeout, stream_io::read(&stream, &mut buffer)).await {
                     Ok(Ok(count)) if count > 0 => {}
                     Ok(_) => return ConnEvent::Failed { written: true },
-                    Err(_) => return ConnEvent::Malformed,
+                    Err(_) => return ConnEvent::Malformed(MalformedReply::Stalled),
                 }
             };
             // Bytes after the reply belong to no request, and nothing after them could be matched to one.
