--- a/src/bin/pondproxy-node/upstream_pool/tests.rs
+++ b/src/bin/pondproxy-node/upstream_pool/tests.rs
@@ -1,8 +1,11 @@
 //! Tests of a connection while a request is handed to it, and of the reuse of connections.
 
-use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream as Peer};
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::net::TcpStream;
 
 use super::*;
 use crate::client_socket::ClientSocket;
