Decode responses of the origin as their bytes arrive, within their limits

Cause: origin_protocol::decode copied and decoded a whole chunked response anew after each read of at most 8 KiB, up to twice the longest body allowed (8 MiB), so its work grew with the square of the response's length, on the node's only thread. Heads of interim responses were parsed anew too. Change: ResponseDecoder keeps its state between reads and removes what it has decoded from the input. A body is given up as soon as its content, or what a chunk states, exceeds the limit, and so is a body with more than 16 KiB of chunk framing beyond 32 bytes a chunk. This works because each byte is now looked at once and a response has a longest length.

--- a/src/bin/pondproxy-node/http.rs
+++ b/src/bin/pondproxy-node/http.rs
@@ -9,6 +9,11 @@
 /// Maximum length of a response head, and of a line with the size of a chunk.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 const MAX_HEADERS: usize = 48;
+/// Framing of a chunk that is not counted as excess: the line with its size, and short extensions.
+const FRAMING_BYTES_PER_CHUNK: usize = 32;
+/// Maximum excess framing of a body. Without a limit, chunks with long extensions would never end a body
+/// that has hardly any content.
+const MAX_EXCESS_FRAMING_BYTES: usize = 16 * 1024;
 
 /// The head of a response.
 #[derive(Debug, Default, PartialEq)]
@@ -79,10 +84,17 @@
     remaining_chunk_bytes: usize,
     /// Whether the line end after the content of a chunk is still to come.
     chunk_end_pending: bool,
+    /// Framing of all chunks so far beyond `FRAMING_BYTES_PER_CHUNK` each.
+    excess_framing_bytes: usize,
     finished: bool,
 }
 
 impl ChunkedDecoder {
+    /// Returns how many bytes of the present chunk are still to come.
+    pub fn remaining_chunk_bytes(&self) -> usize {
+        self.remaining_chunk_bytes
+    }
+
     /// Moves available content of the body from `input` to `output`; returns whether the body is complete.
     pub fn decode(&mut self, input: &mut BytesMut, output: &mut BytesMut) -> Result<bool, MalformedResponse> {
         while !self.finished {
@@ -109,6 +121,10 @@
             match httparse::parse_chunk_size(input) {
                 Ok(httparse::Status::Complete((length, size))) => {
                     input.advance(length);
+                    self.excess_framing_bytes += length.saturating_sub(FRAMING_BYTES_PER_CHUNK);
+                    if self.excess_framing_bytes > MAX_EXCESS_FRAMING_BYTES {
+                        return Err(MalformedResponse);
+                    }
                     self.remaining_chunk_bytes = usize::try_from(size).map_err(|_| MalformedResponse)?;
                     // Trailers are not parsed, so the connection cannot be reused after the last chunk.
                     self.finished = size == 0;
--- a/src/bin/pondproxy-node/upstream_pool/connection.rs
+++ b/src/bin/pondproxy-node/upstream_pool/connection.rs
@@ -15,18 +15,26 @@
 use crate::client_socket::ClientLiveness;
 use crate::event_loop::NodeEvent;
 use crate::memory_budget::MemoryBudget;
+use crate::origin_protocol::ResponseDecoder;
 use crate::resp::MAX_VALUE_BYTES;
 use crate::stream_io::{self, PeekResult};
-use crate::{cache_protocol, http, origin_protocol, resp};
+use crate::{cache_protocol, resp};
 
 /// A reply that has begun counts as malformed if no more of it arrives within the longest latency target of a
-/// class divided by this. That time is at least 10 ms and at most 250 ms.
+/// class divided by this.
 const PARTIAL_REPLY_TIMEOUT_DIVISOR: u64 = 8;
+/// Shortest and longest time-out for the rest of a reply, whatever the latency targets.
+const MIN_PARTIAL_REPLY_TIMEOUT: Duration = Duration::from_millis(10);
+const MAX_PARTIAL_REPLY_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum length of the value in a server's reply.
 const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
+/// The value in a server's reply may be at most as long as the memory budget divided by this.
+const MAX_REPLY_MEMORY_DIVISOR: usize = 4;
 /// An incomplete reply waits for a reservation of memory once more than this many of its bytes have arrived.
 /// A reservation is for at least twice `MAX_VALUE_BYTES`, and a shorter reply does not have to wait for it.
 const UNRESERVED_REPLY_BYTES: usize = 4096;
+/// Minimum space for one read of a reply.
+const MIN_READ_BYTES: usize = 2048;
 /// Time-out for the first byte of a reply. In effect unlimited, because the event loop gives attempts up by
 /// closing their connections.
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(3600);
@@ -118,20 +126,13 @@
             return ConnEvent::Failed { written: false };
         };
         let _ = stream.set_nodelay(true);
-        let longest_target =
-            self.deployment.settings.classes.iter().map(|class| class.latency_target).max().unwrap_or(0);
-        let partial_reply_timeout =
-            Duration::from_micros((longest_target / PARTIAL_REPLY_TIMEOUT_DIVISOR).clamp(10_000, 250_000));
-        // Servers may hold longer values than clients may send through this node, so the memory budget sets
-        // the limit.
-        let max_reply_bytes = (self.memory.total_bytes() / 4).min(MAX_REPLY_BYTES);
         let mut buffer = BytesMut::new();
         let mut event = ConnEvent::Connected;
         loop {
             if self.event_sender.send(NodeEvent::Connection(self.id, event)).await.is_err() {
                 return ConnEvent::Failed { written: false };
             }
-            buffer.reserve(2048);
+            buffer.reserve(MIN_READ_BYTES);
             let next_request = tokio::select! {
                 // Reading is polled first: nothing is written to a connection that the server has closed, so
                 // a request for it is known not to have been executed.
@@ -165,48 +166,9 @@
                 }
             }
             drop(request);
-            let mut reservation = None;
-            let reply = loop {
-                // The rest of a reply should follow its beginning at once. Without this limit, a line or
-                // value that never ends would block its request. A reply that stalls counts as malformed
-                // instead, and its request can still go to another server.
-                let read_timeout = if buffer.is_empty() { FIRST_BYTE_TIMEOUT } else { partial_reply_timeout };
-                let decoded = match self.protocol {
-                    Protocol::Resp => cache_protocol::decode(
-                        &mut buffer,
-                        &self.deployment.load_field_names,
-                        max_reply_bytes,
-                    ),
-                    Protocol::Http => origin_protocol::decode(
-                        &mut buffer,
-                        &self.deployment.load_field_names,
-                        max_reply_bytes,
-                    ),
-                };
-                match decoded {
-                    Ok(Some(reply)) => break reply,
-                    Ok(None) => {}
-                    Err(e) => return ConnEvent::Malformed(e),
-                }
-                // Long replies may together exceed the memory budget, so each waits for its reservation.
-                if buffer.len() > UNRESERVED_REPLY_BYTES && reservation.is_none() {
-                    let declared_length = match self.protocol {
-                        Protocol::Resp => resp::declared_length(&buffer),
-                        Protocol::Http => {
-                            http::head(&buffer).ok().flatten().and_then(|head| head.content_length)
-                        }
-                    };
-                    let declared_length =
-                        declared_length.unwrap_or(0).clamp(MAX_VALUE_BYTES, max_reply_bytes);
-                    reservation = Some(self.memory.reserve(2 * declared_length).await);
-                    buffer.reserve(declared_length);
-                }
-                buffer.reserve(2048);
-                match tokio::time::timeout(read_timeout, stream_io::read(&stream, &mut buffer)).await {
-                    Ok(Ok(count)) if count > 0 => {}
-                    Ok(_) => return ConnEvent::Failed { written: true },
-                    Err(_) => return ConnEvent::Malformed(MalformedReply::Stalled),
-                }
+            let reply = match self.read_reply(&stream, &mut buffer).await {
+                Ok(reply) => reply,
+                Err(event) => return event,
             };
             // Bytes after the reply belong to no request, and nothing after them could be matched to one.
             let has_extra_bytes = !buffer.is_empty() || !nothing_received(&stream);
@@ -218,4 +180,95 @@
             }
         }
     }
+
+    /// Reads until the reply to the request that was written is complete. `buffer` must be empty at first,
+    /// and what follows the reply is left in it.
+    async fn read_reply(&self, stream: &TcpStream, buffer: &mut BytesMut) -> Result<ServerReply, ConnEvent> {
+        let max_reply_bytes = self.max_reply_bytes();
+        let mut decoder = ReplyDecoder::new(self.protocol, max_reply_bytes);
+        let mut reservation = None;
+        let mut read_timeout = FIRST_BYTE_TIMEOUT;
+        loop {
+            buffer.reserve(MIN_READ_BYTES);
+            match tokio::time::timeout(read_timeout, stream_io::read(stream, buffer)).await {
+                Ok(Ok(count)) if count > 0 => {}
+                Ok(_) => return Err(ConnEvent::Failed { written: true }),
+                Err(_) => return Err(ConnEvent::Malformed(MalformedReply::Stalled)),
+            }
+            // The rest of a reply should follow its beginning at once. Without this limit, a line or value
+            // that never ends would block its request. A reply that stalls counts as malformed instead, and
+            // its request can still go to another server.
+            read_timeout = self.partial_reply_timeout();
+            let load_names = &self.deployment.load_field_names;
+            if let Some(reply) = decoder.decode(buffer, load_names).map_err(ConnEvent::Malformed)? {
+                return Ok(reply);
+            }
+            // Long replies may together exceed the memory budget, so each waits for its reservation.
+            if buffer.len() + decoder.held_bytes() > UNRESERVED_REPLY_BYTES && reservation.is_none() {
+                let declared_length = decoder.declared_length(buffer).unwrap_or(0);
+                let expected_bytes = declared_length.clamp(MAX_VALUE_BYTES, max_reply_bytes);
+                reservation = Some(self.memory.reserve(2 * expected_bytes).await);
+                buffer.reserve(expected_bytes);
+            }
+        }
+    }
+
+    /// Time without any input after which a reply that has begun counts as malformed.
+    fn partial_reply_timeout(&self) -> Duration {
+        let classes = &self.deployment.settings.classes;
+        let longest_target = classes.iter().map(|class| class.latency_target).max().unwrap_or(0);
+        let timeout = Duration::from_micros(longest_target / PARTIAL_REPLY_TIMEOUT_DIVISOR);
+        timeout.clamp(MIN_PARTIAL_REPLY_TIMEOUT, MAX_PARTIAL_REPLY_TIMEOUT)
+    }
+
+    /// Maximum length of a value in a reply. Servers may hold longer values than clients may send through
+    /// this node, so the memory budget sets the limit.
+    fn max_reply_bytes(&self) -> usize {
+        (self.memory.total_bytes() / MAX_REPLY_MEMORY_DIVISOR).min(MAX_REPLY_BYTES)
+    }
+}
+
+/// Decodes one reply as its bytes arrive.
+enum ReplyDecoder {
+    Resp { max_value_bytes: usize },
+    Http(ResponseDecoder),
+}
+
+impl ReplyDecoder {
+    fn new(protocol: Protocol, max_value_bytes: usize) -> Self {
+        match protocol {
+            Protocol::Resp => ReplyDecoder::Resp { max_value_bytes },
+            Protocol::Http => ReplyDecoder::Http(ResponseDecoder::new(max_value_bytes)),
+        }
+    }
+
+    /// Removes what can be decoded from the front of the input; returns the reply once it is complete.
+    fn decode(
+        &mut self,
+        input: &mut BytesMut,
+        load_names: &[String],
+    ) -> Result<Option<ServerReply>, MalformedReply> {
+        match self {
+            ReplyDecoder::Resp { max_value_bytes } => {
+                cache_protocol::decode(input, load_names, *max_value_bytes)
+            }
+            ReplyDecoder::Http(decoder) => decoder.decode(input, load_names),
+        }
+    }
+
+    /// Returns the length that the reply states for its value, if that has arrived.
+    fn declared_length(&self, input: &[u8]) -> Option<usize> {
+        match self {
+            ReplyDecoder::Resp { .. } => resp::declared_length(input),
+            ReplyDecoder::Http(decoder) => decoder.declared_length(),
+        }
+    }
+
+    /// Returns how many bytes the decoder has taken from the input and holds.
+    fn held_bytes(&self) -> usize {
+        match self {
+            ReplyDecoder::Resp { .. } => 0,
+            ReplyDecoder::Http(decoder) => decoder.held_bytes(),
+        }
+    }
 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod connection_pressure;
 mod discovery;
 mod drain;
+mod endless_replies;
 mod stand_ins;
 mod system_calls;
 
--- a/tests/node/stand_ins.rs
+++ b/tests/node/stand_ins.rs
@@ -17,6 +17,10 @@
 /// Time-out of a wait in these tests: longer than a wait that succeeds takes, even on a busy machine.
 pub const LONG_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Size of the parts in which a reply without an end is sent, and the pause after each: 16 MB/s at most.
+const ENDLESS_PART_BYTES: usize = 16 * 1024;
+const ENDLESS_PART_PAUSE: Duration = Duration::from_millis(1);
+
 /// What a stand-in server does when it has received a request.
 pub enum ServerAction {
     /// Sends these bytes.
@@ -30,6 +34,9 @@
     /// Sends the first bytes at once and the second ones after a message on the channel, then sends a message
     /// on the sender.
     AnswerThenSendMore(Vec<u8>, Arc<Mutex<Receiver<()>>>, Vec<u8>, Sender<()>),
+    /// Sends the first bytes, then the second ones over and over until the connection ends, at most
+    /// `ENDLESS_PART_BYTES` in each `ENDLESS_PART_PAUSE`.
+    AnswerWithoutEnd(Vec<u8>, Vec<u8>),
     /// Closes the connection without an answer.
     Close,
     /// Sends nothing, and keeps the connection open.
@@ -177,6 +184,17 @@
                 let _ = sent.send(());
                 continue;
             }
+            ServerAction::AnswerWithoutEnd(start, piece) => {
+                let mut is_open = writer.write_all(&start).is_ok();
+                for part in piece.chunks(ENDLESS_PART_BYTES).cycle() {
+                    if !is_open {
+                        return;
+                    }
+                    is_open = writer.write_all(part).is_ok();
+                    std::thread::sleep(ENDLESS_PART_PAUSE);
+                }
+                return;
+            }
             ServerAction::AnswerThenClose(answer_bytes) => (answer_bytes, true),
             ServerAction::Close => (Vec::new(), true),
             ServerAction::Hang => (Vec::new(), false),
