Reject replies of cache servers as soon as their form is wrong, and copy them once

Callers saw: requests of all kinds answered late or never while a cache server sends an array that never ends. It copied all complete elements of an incomplete array again after each read, accepted up to 16 elements in three levels, each as long as the longest value, and had no limit on the whole reply. Change: take_reply reads only the lengths of an incomplete reply, copies its elements once it is complete, and rejects a reply that is no error and no array of three bulk strings or nulls as soon as a line shows it. Lookups may have 256 bytes and load reports 4096, so the whole reply has a limit. The test on nested replies is replaced: nested arrays, integers and other counts, which were parsed and then rejected by the cache protocol, are now rejected by the parser itself, at their first line, and deep nesting still is.

--- a/src/bin/pondproxy-node/cache_protocol.rs
+++ b/src/bin/pondproxy-node/cache_protocol.rs
@@ -4,9 +4,14 @@
 use pondproxy::{CacheLookup, LoadReport, Status};
 
 use crate::client_sessions::Command;
-use crate::resp::{self, Value};
+use crate::resp::{self, Reply};
 use crate::upstream_pool::{MalformedReply, ServerReply};
 
+/// Maximum length of a server's word for the result of a lookup.
+const MAX_LOOKUP_BYTES: usize = 256;
+/// Maximum length of a load report.
+const MAX_LOAD_REPORT_BYTES: usize = 4096;
+
 /// Returns the client's facts as they are forwarded: unchanged except for `d`, the time left now.
 pub fn forwarded_facts(command: &Command, left_ms: u64) -> String {
     let facts = command.facts.split(',').map(|fact| match fact.split_once('=') {
@@ -34,47 +39,48 @@
     load_names: &[String],
     max_value_bytes: usize,
 ) -> Result<Option<ServerReply>, MalformedReply> {
-    let Some(value) = resp::take_value(buffer, max_value_bytes).map_err(|_| MalformedReply::Invalid)? else {
-        return Ok(None);
+    let max_element_bytes = [max_value_bytes, MAX_LOOKUP_BYTES, MAX_LOAD_REPORT_BYTES];
+    let reply = resp::take_reply(buffer, max_element_bytes).map_err(|_| MalformedReply::Invalid)?;
+    Ok(match reply {
+        None => None,
+        Some(Reply::Array([value, lookup_word, report])) => {
+            // A load report or lookup that cannot be parsed counts as not reported; the reply is still valid.
+            let lookup = parse_lookup(to_text(&lookup_word));
+            let load = parse_load_report(to_text(&report), load_names);
+            let status = if value.is_some() { Status::Success } else { Status::Miss };
+            Some(ServerReply { lookup, load, value, ..empty_reply(status) })
+        }
+        Some(Reply::Error(line)) => Some(decode_error(&line, load_names)?),
+    })
+}
+
+/// Decodes an error, whose last word may be a load report.
+fn decode_error(line: &[u8], load_names: &[String]) -> Result<ServerReply, MalformedReply> {
+    let line = std::str::from_utf8(line).map_err(|_| MalformedReply::Invalid)?;
+    let status = match line.split(' ').next() {
+        _ if line.chars().any(char::is_control) => return Err(MalformedReply::Invalid),
+        Some("BUSY") => Status::Rejected,
+        Some("ERR") => Status::Error,
+        _ => return Err(MalformedReply::Invalid),
     };
-    let empty_reply = |status| ServerReply {
+    let last_word = line.rsplit(' ').next().unwrap_or("");
+    Ok(ServerReply { load: parse_load_report(last_word, load_names), ..empty_reply(status) })
+}
+
+/// Returns a reply that carries nothing but its status.
+fn empty_reply(status: Status) -> ServerReply {
+    ServerReply {
         status,
         lookup: CacheLookup::NotReported,
         load: LoadReport::default(),
         value: None,
         keep_alive: true,
-    };
-    Ok(Some(match value {
-        Value::Array(items) => {
-            let Ok([Value::Bulk(value), Value::Bulk(lookup_word), Value::Bulk(report)]) =
-                <[Value; 3]>::try_from(items)
-            else {
-                return Err(MalformedReply::Invalid);
-            };
-            // A load report or lookup that cannot be parsed counts as not reported; the reply is still valid.
-            let to_text = |text: &Option<Bytes>| {
-                text.as_ref().and_then(|t| std::str::from_utf8(t).ok()).unwrap_or("").to_owned()
-            };
-            let (lookup, load) =
-                (parse_lookup(&to_text(&lookup_word)), parse_load_report(&to_text(&report), load_names));
-            let status = if value.is_some() { Status::Success } else { Status::Miss };
-            ServerReply { lookup, load, value, ..empty_reply(status) }
-        }
-        Value::Error(line) => {
-            let line = std::str::from_utf8(&line).map_err(|_| MalformedReply::Invalid)?;
-            let status = match line.split(' ').next() {
-                _ if line.chars().any(char::is_control) => return Err(MalformedReply::Invalid),
-                Some("BUSY") => Status::Rejected,
-                Some("ERR") => Status::Error,
-                _ => return Err(MalformedReply::Invalid),
-            };
-            // The last word of an error may be a load report.
-            let last_word = line.rsplit(' ').next().unwrap_or("");
-            ServerReply { load: parse_load_report(last_word, load_names), ..empty_reply(status) }
-        }
-        // Not part of the protocol: no later input of this connection can be matched to a request.
-        _ => return Err(MalformedReply::Invalid),
-    }))
+    }
+}
+
+/// Returns the text of an element; empty if it is null or no text.
+fn to_text(element: &Option<Bytes>) -> &str {
+    element.as_deref().and_then(|bytes| std::str::from_utf8(bytes).ok()).unwrap_or("")
 }
 
 /// Parses a server's word for the result of a lookup.
--- a/src/bin/pondproxy-node/resp.rs
+++ b/src/bin/pondproxy-node/resp.rs
@@ -6,14 +6,12 @@
 
 /// Maximum size of a value in a command of a client.
 pub const MAX_VALUE_BYTES: usize = 64 * 1024;
-/// Maximum number of arguments in a command, and of elements in an array of a reply.
-const MAX_ELEMENTS: usize = 16;
+/// Maximum number of arguments in a command.
+const MAX_ARGUMENTS: usize = 16;
 /// Maximum size of a line that states a length.
 const MAX_LENGTH_LINE_BYTES: usize = 24;
-/// Maximum size of a simple string, error or integer in a reply.
+/// Maximum size of an error in a reply.
 const MAX_LINE_BYTES: usize = 4096;
-/// Maximum nesting depth of arrays in a reply.
-const MAX_DEPTH: u8 = 3;
 
 /// The input violates the protocol or a limit, and cannot be parsed any further: where the next command or
 /// reply begins is unknown.
@@ -22,23 +20,20 @@
 
 const UNTERMINATED_BULK: ProtocolError = ProtocolError("bulk string not ended");
 const NULL_IN_COMMAND: ProtocolError = ProtocolError("null in a command");
+const UNEXPECTED_TYPE: ProtocolError = ProtocolError("unexpected type");
 
-/// A reply of a cache server.
+/// A reply of a cache server with `N` elements.
 #[derive(Debug, PartialEq, Clone)]
-pub enum Value {
-    /// A bulk string, or null.
-    Bulk(Option<Bytes>),
-    /// An array; a null array is parsed as an empty one.
-    Array(Vec<Value>),
-    SimpleString(Bytes),
+pub enum Reply<const N: usize> {
+    /// An array of bulk strings or nulls.
+    Array([Option<Bytes>; N]),
     Error(Bytes),
-    Integer(i64),
 }
 
 /// Removes one command, an array of bulk strings, from the front of `buffer`; returns `None` while it is
 /// incomplete.
 pub fn take_command(buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, ProtocolError> {
-    let mut parser = Parser { input: buffer, position: 0, max_bulk_bytes: MAX_VALUE_BYTES };
+    let mut parser = Parser { input: buffer, position: 0 };
     let Some(arguments) = parser.read_command()? else { return Ok(None) };
     let end = parser.position;
     // Each argument is copied: slices of the buffer would keep all of it allocated while any of them lives.
@@ -46,28 +41,46 @@
     Ok(Some(arguments.into_iter().map(|(from, to)| Bytes::copy_from_slice(&command[from..to])).collect()))
 }
 
-/// Removes one reply from the front of `buffer`, with bulk strings of at most `max_bulk_bytes`; returns
-/// `None` while it is incomplete.
-pub fn take_value(buffer: &mut BytesMut, max_bulk_bytes: usize) -> Result<Option<Value>, ProtocolError> {
-    let mut parser = Parser { input: buffer, position: 0, max_bulk_bytes };
-    let Some(value) = parser.read_value(0)? else { return Ok(None) };
+/// Removes one reply from the front of `buffer`; returns `None` while it is incomplete. A reply is an error
+/// or an array of `N` bulk strings, of which each may have the length that `max_element_bytes` states for it.
+///
+/// While a reply is incomplete, only the lines that state its lengths are read, and nothing is copied. It is
+/// an error as soon as a line shows that the reply will not have this form, so its total length is limited.
+pub fn take_reply<const N: usize>(
+    buffer: &mut BytesMut,
+    max_element_bytes: [usize; N],
+) -> Result<Option<Reply<N>>, ProtocolError> {
+    let mut parser = Parser { input: buffer, position: 0 };
+    let Some(bounds) = parser.read_reply(max_element_bytes)? else { return Ok(None) };
     let end = parser.position;
-    let _ = buffer.split_to(end);
-    Ok(Some(value))
+    let reply = buffer.split_to(end);
+    let copy = |(from, to): (usize, usize)| Bytes::copy_from_slice(&reply[from..to]);
+    Ok(Some(match bounds {
+        ReplyBounds::Array(elements) => Reply::Array(elements.map(|element| element.map(copy))),
+        ReplyBounds::Error(text) => Reply::Error(copy(text)),
+    }))
 }
 
 /// Returns the length that a reply states for its value, the first element of the array; `None` if that has
 /// not arrived, is malformed or states a null.
 pub fn declared_length(buffer: &[u8]) -> Option<usize> {
-    let mut parser = Parser { input: buffer, position: 0, max_bulk_bytes: usize::MAX };
-    parser.read_length(b'*', MAX_ELEMENTS).ok()??;
+    let mut parser = Parser { input: buffer, position: 0 };
+    parser.read_length(b'*', usize::MAX).ok()??;
     parser.read_length(b'$', usize::MAX).ok()??
 }
 
+/// Bounds of the content of a bulk string, or of the text of a line, in the input.
+type Bounds = (usize, usize);
+
+/// Where the elements of a complete reply are in the input.
+enum ReplyBounds<const N: usize> {
+    Array([Option<Bounds>; N]),
+    Error(Bounds),
+}
+
 struct Parser<'a> {
     input: &'a [u8],
     position: usize,
-    max_bulk_bytes: usize,
 }
 
 impl<'a> Parser<'a> {
@@ -92,7 +105,7 @@
     ) -> Result<Option<Option<usize>>, ProtocolError> {
         match self.input.get(self.position) {
             None => return Ok(None),
-            Some(found) if *found != type_byte => return Err(ProtocolError("unexpected type")),
+            Some(found) if *found != type_byte => return Err(UNEXPECTED_TYPE),
             Some(_) => {}
         }
         let Some(line) = self.read_line(MAX_LENGTH_LINE_BYTES)? else { return Ok(None) };
@@ -112,8 +125,8 @@
 
     /// Reads a bulk string and returns the bounds of its content. The outer `None` means incomplete, the
     /// inner `None` a null.
-    fn read_bulk(&mut self) -> Result<Option<Option<(usize, usize)>>, ProtocolError> {
-        let length = match self.read_length(b'$', self.max_bulk_bytes)? {
+    fn read_bulk(&mut self, max_bytes: usize) -> Result<Option<Option<Bounds>>, ProtocolError> {
+        let length = match self.read_length(b'$', max_bytes)? {
             None => return Ok(None),
             Some(None) => return Ok(Some(None)),
             Some(Some(length)) => length,
@@ -129,18 +142,18 @@
 
     /// Reads the number of arguments of a command; returns `None` while it is incomplete.
     fn read_argument_count(&mut self) -> Result<Option<usize>, ProtocolError> {
-        match self.read_length(b'*', MAX_ELEMENTS)? {
+        match self.read_length(b'*', MAX_ARGUMENTS)? {
             // Prevents floods of empty commands, which have no effect and are cheap to send.
             Some(None | Some(0)) => Err(ProtocolError("empty command")),
             count => Ok(count.flatten()),
         }
     }
 
-    fn read_command(&mut self) -> Result<Option<Vec<(usize, usize)>>, ProtocolError> {
+    fn read_command(&mut self) -> Result<Option<Vec<Bounds>>, ProtocolError> {
         let Some(count) = self.read_argument_count()? else { return Ok(None) };
         let mut arguments = Vec::with_capacity(count);
         for _ in 0..count {
-            match self.read_bulk()? {
+            match self.read_bulk(MAX_VALUE_BYTES)? {
                 None => return Ok(None),
                 Some(argument) => arguments.push(argument.ok_or(NULL_IN_COMMAND)?),
             }
@@ -148,38 +161,42 @@
         Ok(Some(arguments))
     }
 
-    fn read_value(&mut self, depth: u8) -> Result<Option<Value>, ProtocolError> {
-        let Some(type_byte) = self.input.get(self.position) else { return Ok(None) };
-        match type_byte {
-            b'$' => Ok(self.read_bulk()?.map(|bounds| {
-                Value::Bulk(bounds.map(|(from, to)| Bytes::copy_from_slice(&self.input[from..to])))
-            })),
-            b'*' if depth < MAX_DEPTH => {
-                let Some(count) = self.read_length(b'*', MAX_ELEMENTS)? else { return Ok(None) };
-                let mut items = Vec::new();
-                for _ in 0..count.unwrap_or(0) {
-                    match self.read_value(depth + 1)? {
-                        None => return Ok(None),
-                        Some(item) => items.push(item),
-                    }
-                }
-                Ok(Some(Value::Array(items)))
-            }
-            b'+' | b'-' | b':' => {
-                let Some(line) = self.read_line(MAX_LINE_BYTES)? else { return Ok(None) };
-                let text = &line[1..];
-                Ok(Some(match type_byte {
-                    b'+' => Value::SimpleString(Bytes::copy_from_slice(text)),
-                    b'-' => Value::Error(Bytes::copy_from_slice(text)),
-                    _ => {
-                        let number = std::str::from_utf8(text).ok().and_then(|t| t.parse().ok());
-                        Value::Integer(number.ok_or(ProtocolError("invalid number"))?)
-                    }
-                }))
-            }
-            _ => Err(ProtocolError("unexpected type")),
+    /// Reads a reply and returns its bounds; returns `None` while it is incomplete.
+    fn read_reply<const N: usize>(
+        &mut self,
+        max_element_bytes: [usize; N],
+    ) -> Result<Option<ReplyBounds<N>>, ProtocolError> {
+        match self.input.get(self.position) {
+            None => Ok(None),
+            Some(b'*') => Ok(self.read_array(max_element_bytes)?.map(ReplyBounds::Array)),
+            Some(b'-') => Ok(self.read_error()?.map(ReplyBounds::Error)),
+            Some(_) => Err(UNEXPECTED_TYPE),
         }
     }
+
+    /// Reads an array of `N` bulk strings or nulls; returns `None` while it is incomplete.
+    fn read_array<const N: usize>(
+        &mut self,
+        max_element_bytes: [usize; N],
+    ) -> Result<Option<[Option<Bounds>; N]>, ProtocolError> {
+        let Some(count) = self.read_length(b'*', N)? else { return Ok(None) };
+        if count != Some(N) {
+            return Err(ProtocolError("wrong number of elements"));
+        }
+        let mut elements = [None; N];
+        for (element, max_bytes) in elements.iter_mut().zip(max_element_bytes) {
+            let Some(bounds) = self.read_bulk(max_bytes)? else { return Ok(None) };
+            *element = bounds;
+        }
+        Ok(Some(elements))
+    }
+
+    /// Reads an error and returns the bounds of its text; returns `None` while it is incomplete.
+    fn read_error(&mut self) -> Result<Option<Bounds>, ProtocolError> {
+        let start = self.position + 1;
+        let line = self.read_line(MAX_LINE_BYTES)?;
+        Ok(line.map(|line| (start, start + line.len() - 1)))
+    }
 }
 
 /// Skips and counts commands without keeping their contents; the input may be split anywhere.
@@ -235,7 +252,7 @@
         let earlier_bytes = self.length_line.len();
         self.length_line
             .extend_from_slice(&input[..input.len().min(MAX_LENGTH_LINE_BYTES + 2 - earlier_bytes)]);
-        let mut parser = Parser { input: &self.length_line, position: 0, max_bulk_bytes: MAX_VALUE_BYTES };
+        let mut parser = Parser { input: &self.length_line, position: 0 };
         let progress = match self.remaining_arguments {
             0 => parser.read_argument_count()?.map(|count| (count, 0)),
             arguments => match parser.read_length(b'$', MAX_VALUE_BYTES)? {
--- a/src/bin/pondproxy-node/resp/tests.rs
+++ b/src/bin/pondproxy-node/resp/tests.rs
@@ -35,16 +35,59 @@
     }
 }
 
+/// Limits of the elements of a reply in these tests.
+const MAX_ELEMENT_BYTES: [usize; 3] = [MAX_VALUE_BYTES, 16, 16];
+
+#[test]
+fn replies_are_parsed_in_any_pieces_and_removed_from_the_input() {
+    let input = b"*3\r\n$2\r\nab\r\n$-1\r\n$3\r\nhit\r\n-BUSY\r\n-\r\n*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n";
+    let bulk = |text: &'static str| Some(Bytes::from_static(text.as_bytes()));
+    let expected = [
+        Reply::Array([bulk("ab"), None, bulk("hit")]),
+        Reply::Error("BUSY".into()),
+        Reply::Error("".into()),
+        Reply::Array([bulk(""), None, None]),
+    ];
+    for piece_bytes in 1..=input.len() {
+        let (mut buffer, mut replies) = (BytesMut::new(), Vec::new());
+        for piece in input.chunks(piece_bytes) {
+            buffer.extend_from_slice(piece);
+            while let Some(reply) = take_reply(&mut buffer, MAX_ELEMENT_BYTES).unwrap() {
+                replies.push(reply);
+            }
+        }
+        assert_eq!(replies, expected, "in pieces of {piece_bytes} bytes");
+        assert!(buffer.is_empty());
+    }
+}
+
 #[test]
-fn replies_are_parsed_and_deep_nesting_is_rejected() {
-    let mut answer = BytesMut::from("*3\r\n$2\r\nab\r\n$-1\r\n$3\r\nhit\r\n-BUSY\r\n:7\r\n");
-    let bulk = |text: &'static str| Value::Bulk(Some(Bytes::from_static(text.as_bytes())));
-    let array = Value::Array(vec![bulk("ab"), Value::Bulk(None), bulk("hit")]);
-    assert_eq!(take_value(&mut answer, MAX_VALUE_BYTES), Ok(Some(array)));
-    assert_eq!(take_value(&mut answer, MAX_VALUE_BYTES), Ok(Some(Value::Error("BUSY".into()))));
-    assert_eq!(take_value(&mut answer, MAX_VALUE_BYTES), Ok(Some(Value::Integer(7))));
-    assert_eq!(take_value(&mut answer, MAX_VALUE_BYTES), Ok(None));
-    assert!(take_value(&mut BytesMut::from(&b"*1\r\n".repeat(9000)[..]), MAX_VALUE_BYTES).is_err());
+fn replies_of_another_form_are_rejected_as_soon_as_it_shows() {
+    // Guards against replies that never end: each of these could go on without a limit.
+    for start in [
+        "*2\r\n",
+        "*4\r\n",
+        "*16\r\n",
+        "*0\r\n",
+        "*-1\r\n",
+        "*1\r\n",
+        "*3\r\n*",
+        "*3\r\n:",
+        "*3\r\n$65537\r\n",
+        "*3\r\n$1\r\na\r\n$17\r\n",
+        "*3\r\n$1\r\na\r\n$-1\r\n$17\r\n",
+        "*3\r\n$1\r\na\r\n$-1\r\n+",
+        "$",
+        ":7",
+        "+OK",
+    ] {
+        assert!(take_reply(&mut BytesMut::from(start), MAX_ELEMENT_BYTES).is_err(), "{start:?}");
+    }
+    let long_line = format!("-{}", "e".repeat(MAX_LINE_BYTES + 2));
+    assert!(take_reply(&mut BytesMut::from(&long_line[..]), MAX_ELEMENT_BYTES).is_err());
+    let deep = b"*1\r\n".repeat(9000);
+    assert!(take_reply(&mut BytesMut::from(&deep[..]), MAX_ELEMENT_BYTES).is_err());
+    assert!(take_reply(&mut BytesMut::from(&deep[..]), [MAX_VALUE_BYTES]).is_err());
 }
 
 #[test]
--- a/tests/node/endless_replies.rs
+++ b/tests/node/endless_replies.rs
@@ -27,6 +27,12 @@
     ServerAction::AnswerWithoutEnd(head.to_vec(), chunk(&"x".repeat(8 * 1024)))
 }
 
+/// A reply of a cache server with more and more long elements.
+fn endless_array() -> ServerAction {
+    let element = format!("$1048576\r\n{}\r\n", "x".repeat(1024 * 1024));
+    ServerAction::AnswerWithoutEnd(b"*16\r\n".to_vec(), element.into_bytes())
+}
+
 /// Sends reads of new keys one after the other for `SENDING_TIME`; returns the answers. Panics if one is not
 /// answered in time.
 fn send_reads(mut client: Client, key_prefix: String) -> Vec<String> {
@@ -76,3 +82,15 @@
     let origin = origin_server(|_| endless_chunked_response());
     assert_all_reads_are_answered_in_time(&list_of_one_cache(cache.address, origin.address));
 }
+
+#[test]
+fn replies_of_a_cache_server_that_never_end_delay_no_other_request() {
+    // Guards against a node that copies the complete elements of an incomplete array after each read.
+    let endless_cache = cache_server(|parts| match parts[1].starts_with(ENDLESS_KEY_PREFIX) {
+        true => endless_array(),
+        false => ServerAction::Answer(hit("value")),
+    });
+    let sound_cache = cache_server(|_| ServerAction::Answer(hit("value")));
+    let caches = [endless_cache.address, sound_cache.address];
+    assert_all_reads_are_answered_in_time(&list_of_two_caches(caches, failing_origin().address));
+}
