Let other tasks run while a connection is ready for every read or write

Callers saw: no answers for as long as a server sends faster than the node reads, even if each read is cheap. Cause: stream_io waits with TcpStream::ready, which, unlike tokio's own reads and writes, doesn't use up the task's cooperative budget. A task whose socket stayed ready never returned to the runtime, so neither the event loop nor its time-outs ran until the peer paused or a limit ended the reply. Evidence: the two new tests. Change: each transfer consumes a unit of the budget first, so a task yields after at most 128 transfers in a row. This covers servers and discovery; sessions of clients yield between their reads already.

Measured: other_tasks_run_while_input_keeps_arriving and other_tasks_run_while_a_peer_takes_all_output failed before and pass. fmt, clippy, the unit tests and the tests of the node passed.

--- a/src/bin/pondproxy-node/stream_io.rs
+++ b/src/bin/pondproxy-node/stream_io.rs
@@ -1,6 +1,9 @@
 //! Reads and writes that wait only when a system call reports that it would block. tokio takes a short
 //! read or write as a sign that the socket is drained or full, and then waits for a readiness event that may
 //! not come. It also reports an interrupted call as an error, which is retried here.
+//!
+//! Each transfer uses up a part of its task's cooperative budget, as tokio's own reads and writes do. A peer
+//! that sends without pause therefore cannot keep the other tasks of the thread from running.
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::mem::MaybeUninit;
@@ -91,6 +94,8 @@
     mut call: impl FnMut() -> io::Result<usize>,
 ) -> io::Result<usize> {
     loop {
+        // Waiting for readiness does not yield while the socket stays ready.
+        tokio::task::consume_budget().await;
         stream.ready(interest).await?;
         match stream.try_io(interest, &mut call) {
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
@@ -98,3 +103,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
