Reserve memory for a reply as it grows, from a part of the budget

Operators would see: a node killed for its memory while responses without a stated length never end. Change: ReplyMemory reserves in steps of 64 KiB as the reply grows. A step that is not available gives the reply up instead of waiting, since a waiting reply would hold what others wait for. The steps come from half of the budget, as large as one reply of the longest length needs, so that requests beside them keep the rest.

--- a/src/bin/pondproxy-node/memory_budget.rs
+++ b/src/bin/pondproxy-node/memory_budget.rs
@@ -14,6 +14,9 @@
 /// Buffered commands that wait for earlier commands of their connection may use at most the budget divided by
 /// this; the rest is left to accepted requests.
 const PIPELINED_DIVISOR: usize = 4;
+/// Replies that become longer than expected may together use at most the budget divided by this; the rest is
+/// left to accepted requests.
+const REPLY_GROWTH_DIVISOR: usize = 2;
 
 /// A memory budget; its clones share it.
 #[derive(Clone)]
@@ -21,6 +24,8 @@
     available: Arc<Semaphore>,
     /// The part of the budget that pipelined input may still reserve.
     pipelined_available: Arc<Semaphore>,
+    /// The part of the budget that replies longer than expected may still reserve.
+    reply_growth_available: Arc<Semaphore>,
     total_units: u32,
 }
 
@@ -36,11 +41,13 @@
             / BUFFER_OVERHEAD_FACTOR
             / UNIT_BYTES)
             .min(1 << 28);
-        let (available, pipelined_available) = (
-            Arc::new(Semaphore::new(total_units)),
-            Arc::new(Semaphore::new(total_units / PIPELINED_DIVISOR)),
-        );
-        MemoryBudget { available, pipelined_available, total_units: total_units as u32 }
+        let part = |divisor| Arc::new(Semaphore::new(total_units / divisor));
+        MemoryBudget {
+            available: part(1),
+            pipelined_available: part(PIPELINED_DIVISOR),
+            reply_growth_available: part(REPLY_GROWTH_DIVISOR),
+            total_units: total_units as u32,
+        }
     }
 
     /// Returns the size of the whole budget in bytes.
@@ -61,9 +68,17 @@
 
     /// Reserves `bytes` for pipelined input if they are available.
     pub fn try_reserve_pipelined(&self, bytes: usize) -> Option<MemoryReservation> {
-        let pipelined_available =
-            self.pipelined_available.clone().try_acquire_many_owned(self.units_for(bytes)).ok()?;
-        Some(MemoryReservation(self.try_reserve(bytes)?.0, Some(pipelined_available)))
+        self.try_reserve_from_part(&self.pipelined_available, bytes)
+    }
+
+    /// Reserves `bytes` for a reply that has become longer than expected if they are available.
+    pub fn try_reserve_reply_growth(&self, bytes: usize) -> Option<MemoryReservation> {
+        self.try_reserve_from_part(&self.reply_growth_available, bytes)
+    }
+
+    fn try_reserve_from_part(&self, part: &Arc<Semaphore>, bytes: usize) -> Option<MemoryReservation> {
+        let part_permit = part.clone().try_acquire_many_owned(self.units_for(bytes)).ok()?;
+        Some(MemoryReservation(self.try_reserve(bytes)?.0, Some(part_permit)))
     }
 
     /// Reserves `bytes`, waiting until they are available.
--- a/src/bin/pondproxy-node/upstream_pool/connection.rs
+++ b/src/bin/pondproxy-node/upstream_pool/connection.rs
@@ -14,7 +14,7 @@
 use super::ConnId;
 use crate::client_socket::ClientLiveness;
 use crate::event_loop::NodeEvent;
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::origin_protocol::ResponseDecoder;
 use crate::resp::MAX_VALUE_BYTES;
 use crate::stream_io::{self, PeekResult};
@@ -33,8 +33,17 @@
 /// An incomplete reply waits for a reservation of memory once more than this many of its bytes have arrived.
 /// A reservation is for at least twice `MAX_VALUE_BYTES`, and a shorter reply does not have to wait for it.
 const UNRESERVED_REPLY_BYTES: usize = 4096;
+/// Number of copies of a reply for which memory is reserved: the received one, and the answer to the client.
+const RESERVED_COPIES: usize = 2;
+/// Length by which the reservation of a reply grows.
+const GROWTH_STEP_BYTES: usize = 64 * 1024;
+/// What may arrive with a value and needs no reservation of its own: framing, a load report, and the end of
+/// the last read.
+const REPLY_OVERHEAD_BYTES: usize = 16 * 1024;
 /// Minimum space for one read of a reply.
 const MIN_READ_BYTES: usize = 2048;
+/// Space for one read once a reply has turned out to be long.
+const LONG_REPLY_READ_BYTES: usize = 8 * 1024;
 /// Time-out for the first byte of a reply. In effect unlimited, because the event loop gives attempts up by
 /// closing their connections.
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(3600);
@@ -48,6 +57,8 @@
     TooLong,
     /// The rest of the reply did not arrive in time.
     Stalled,
+    /// The reply became longer than expected, and the memory budget is exhausted.
+    NoMemory,
 }
 
 impl std::fmt::Display for MalformedReply {
@@ -56,6 +67,7 @@
             MalformedReply::Invalid => write!(f, "invalid"),
             MalformedReply::TooLong => write!(f, "too long"),
             MalformedReply::Stalled => write!(f, "its rest did not arrive in time"),
+            MalformedReply::NoMemory => write!(f, "no memory is left for it"),
         }
     }
 }
@@ -186,7 +198,7 @@
     async fn read_reply(&self, stream: &TcpStream, buffer: &mut BytesMut) -> Result<ServerReply, ConnEvent> {
         let max_reply_bytes = self.max_reply_bytes();
         let mut decoder = ReplyDecoder::new(self.protocol, max_reply_bytes);
-        let mut reservation = None;
+        let mut reply_memory = ReplyMemory::new(&self.memory);
         let mut read_timeout = FIRST_BYTE_TIMEOUT;
         loop {
             buffer.reserve(MIN_READ_BYTES);
@@ -203,12 +215,15 @@
             if let Some(reply) = decoder.decode(buffer, load_names).map_err(ConnEvent::Malformed)? {
                 return Ok(reply);
             }
-            // Long replies may together exceed the memory budget, so each waits for its reservation.
-            if buffer.len() + decoder.held_bytes() > UNRESERVED_REPLY_BYTES && reservation.is_none() {
+            let received_bytes = buffer.len() + decoder.held_bytes();
+            if received_bytes > UNRESERVED_REPLY_BYTES {
                 let declared_length = decoder.declared_length(buffer).unwrap_or(0);
                 let expected_bytes = declared_length.clamp(MAX_VALUE_BYTES, max_reply_bytes);
-                reservation = Some(self.memory.reserve(2 * expected_bytes).await);
-                buffer.reserve(expected_bytes);
+                if !reply_memory.reserve_for(received_bytes, expected_bytes).await {
+                    return Err(ConnEvent::Malformed(MalformedReply::NoMemory));
+                }
+                let remaining_bytes = declared_length.min(max_reply_bytes).saturating_sub(received_bytes);
+                buffer.reserve(remaining_bytes.max(LONG_REPLY_READ_BYTES));
             }
         }
     }
@@ -228,6 +243,41 @@
     }
 }
 
+/// The memory that is reserved for a reply. It grows with the reply, because not every reply states its
+/// length.
+struct ReplyMemory<'a> {
+    budget: &'a MemoryBudget,
+    reservations: Vec<MemoryReservation>,
+    /// Length of a reply that the reservations are enough for.
+    covered_bytes: usize,
+}
+
+impl<'a> ReplyMemory<'a> {
+    fn new(budget: &'a MemoryBudget) -> Self {
+        ReplyMemory { budget, reservations: Vec::new(), covered_bytes: 0 }
+    }
+
+    /// Makes sure that memory is reserved for the received part of a reply. Long replies may together exceed
+    /// the memory budget, so each waits for its first reservation, which is for `expected_bytes`. A reply
+    /// that becomes longer than that does not wait, because it holds memory that others may be waiting for;
+    /// returns `false` if there is none left for it.
+    async fn reserve_for(&mut self, received_bytes: usize, expected_bytes: usize) -> bool {
+        if self.reservations.is_empty() {
+            self.reservations.push(self.budget.reserve(RESERVED_COPIES * expected_bytes).await);
+            self.covered_bytes = expected_bytes + REPLY_OVERHEAD_BYTES;
+        }
+        while self.covered_bytes < received_bytes {
+            let Some(reservation) = self.budget.try_reserve_reply_growth(RESERVED_COPIES * GROWTH_STEP_BYTES)
+            else {
+                return false;
+            };
+            self.reservations.push(reservation);
+            self.covered_bytes += GROWTH_STEP_BYTES;
+        }
+        true
+    }
+}
+
 /// Decodes one reply as its bytes arrive.
 enum ReplyDecoder {
     Resp { max_value_bytes: usize },
--- a/tests/node/connection_pressure.rs
+++ b/tests/node/connection_pressure.rs
@@ -107,7 +107,7 @@
             let list = list.clone();
             std::thread::spawn(move || {
                 let _ = stream.read(&mut [0; 1024]);
-                let _ = stream.write_all(&[watch_head(), chunk(&list)].concat());
+                let _ = stream.write_all(&[chunked_response_head(), chunk(&list)].concat());
                 while stream.write_all(&chunk("\n")).is_ok() {
                     std::thread::sleep(Duration::from_secs(1));
                 }
@@ -475,7 +475,7 @@
 fn node_under_connection_pressure_stays_within_its_descriptor_budget_while_discovery_moves() {
     for sockets in [64, 256] {
         let server = cache_server(|parts| ServerAction::Answer(hit(&parts[1])));
-        let watch = || vec![Step::Send([watch_head(), chunk("\n")].concat())];
+        let watch = || vec![Step::Send([chunked_response_head(), chunk("\n")].concat())];
         let (discovery, calls) = scripted_discovery(vec![watch()]);
         let node = Node::start_with_limits(
             discovery,
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -27,12 +27,13 @@
             server_entry("origin", origin, "origin", "active"),
         ],
     );
-    let truncated = [watch_head(), chunk(&list[..list.len() / 2])].concat();
-    let invalid = [watch_head(), chunk("{\"index\":\"seven\",\"endpoints\":[{}]}\n")].concat();
+    let truncated = [chunked_response_head(), chunk(&list[..list.len() / 2])].concat();
+    let invalid = [chunked_response_head(), chunk("{\"index\":\"seven\",\"endpoints\":[{}]}\n")].concat();
     let failed_answers =
         vec![b"HTTP/1.1 503 Busy\r\n\r\n".to_vec(), b"HTTP/1.1 20".to_vec(), Vec::new(), truncated, invalid];
     let failure_count = failed_answers.len();
-    let answers = failed_answers.into_iter().chain([[watch_head(), chunk(&list)].concat()]).collect();
+    let answers =
+        failed_answers.into_iter().chain([[chunked_response_head(), chunk(&list)].concat()]).collect();
     let (discovery, _updates, calls) = discovery_server(answers);
     let node = Node::start(discovery, r#"{"index":0,"snapshot":true,"endpoints":[]}"#);
     for _ in 0..failure_count {
--- a/tests/node/drain.rs
+++ b/tests/node/drain.rs
@@ -117,7 +117,7 @@
     fn start_watching(&self) -> (Node, Sender<()>, Receiver<String>) {
         let (start_drain, drain_signal) = channel();
         let watch = vec![
-            Step::Send(watch_head()),
+            Step::Send(chunked_response_head()),
             Step::SendEmptyLinesUntil(drain_signal),
             Step::Send(self.drain_update()),
         ];
@@ -179,7 +179,7 @@
     }
     assert!(count_reads_from_first(&node) > 0, "both servers are in the list");
     let delayed_refusal = || vec![Step::Sleep(Duration::from_millis(900)), refuse_call(), Step::Close];
-    let answered = vec![Step::Send([watch_head(), chunk(&upstreams.list_with_drain())].concat())];
+    let answered = vec![Step::Send([chunked_response_head(), chunk(&upstreams.list_with_drain())].concat())];
     let (new_discovery, _calls) = scripted_discovery(vec![delayed_refusal(), delayed_refusal(), answered]);
     let signal_sent_at = Instant::now();
     node.reload_config(Ok(new_discovery));
@@ -218,7 +218,7 @@
         server_entry("s-2", upstreams.second.address, "std", "leaving"),
         server_entry("o-1", upstreams.origin.address, "origin", "active"),
     ];
-    let answer = [watch_head(), chunk(&server_list(4, true, &entries))].concat();
+    let answer = [chunked_response_head(), chunk(&server_list(4, true, &entries))].concat();
     let (new_discovery, _new_calls) = scripted_discovery(vec![vec![Step::Send(answer)]]);
     node.reload_config(Ok(new_discovery));
     let mut lines = std::iter::from_fn(|| node.log.recv_timeout(LONG_TIMEOUT).ok());
@@ -243,7 +243,7 @@
     let cut_at = whole_list.windows(3).position(|part| part == b"s-2").unwrap();
     for connection_stays_open in [false, true] {
         let mut script = vec![
-            Step::Send(watch_head()),
+            Step::Send(chunked_response_head()),
             Step::Send(chunk("\n")),
             Step::Send(whole_list[..cut_at].to_vec()),
         ];
@@ -276,7 +276,7 @@
     let (send_list, list_signal) = channel();
     let (written_sender, written) = channel();
     let script = vec![
-        Step::Send([watch_head(), chunk("\n")].concat()),
+        Step::Send([chunked_response_head(), chunk("\n")].concat()),
         Step::WaitFor(list_signal),
         Step::Send(head.to_vec()),
         Step::SendUrgentByte,
@@ -307,13 +307,13 @@
 fn configuration_unreadable_at_sighup_is_read_again() {
     let upstreams = Upstreams::new();
     let (old_discovery, _old_calls) =
-        scripted_discovery(vec![vec![Step::Send([watch_head(), chunk("\n")].concat())]]);
+        scripted_discovery(vec![vec![Step::Send([chunked_response_head(), chunk("\n")].concat())]]);
     let node = upstreams.start(old_discovery);
     node.reload_config(Err(""));
     let mut lines = std::iter::from_fn(|| node.log.recv_timeout(LONG_TIMEOUT).ok());
     assert!(lines.any(|line| line.contains("the old configuration stays in force")));
     let (new_discovery, new_calls) = scripted_discovery(vec![vec![Step::Send(
-        [watch_head(), chunk(&upstreams.list_with_drain())].concat(),
+        [chunked_response_head(), chunk(&upstreams.list_with_drain())].concat(),
     )]]);
     node.replace_config(Ok(new_discovery));
     new_calls.recv_timeout(LONG_TIMEOUT).expect("the node calls the new discovery");
@@ -331,7 +331,8 @@
         .map(|server| server_entry(&server_name(server), failing_address, "std", "active"))
         .collect();
     for seed in 1..=3 {
-        let (discovery, updates, calls) = discovery_server(vec![[watch_head(), chunk("\n")].concat()]);
+        let (discovery, updates, calls) =
+            discovery_server(vec![[chunked_response_head(), chunk("\n")].concat()]);
         let shell_prefix = faulty_system_calls(seed);
         let node = Node::start_with_settings(
             discovery,
--- a/tests/node/endless_replies.rs
+++ b/tests/node/endless_replies.rs
@@ -15,16 +15,16 @@
 const LATE_ANSWER_ALLOWANCE: Duration = Duration::from_millis(550);
 /// Pause of a client between an answer and its next request.
 const REQUEST_PAUSE: Duration = Duration::from_millis(20);
-/// Memory limit of the node, with which it accepts the longest replies.
+/// Memory limits of the node: one with which it accepts the longest replies, and a small one.
 const MEMORY_MB: usize = 64;
+const SMALL_MEMORY_MB: usize = 32;
 
 /// First letter of the keys whose replies never end.
 const ENDLESS_KEY_PREFIX: char = 'e';
 
 /// A reply of the origin whose chunked body never ends.
 fn endless_chunked_response() -> ServerAction {
-    let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    ServerAction::AnswerWithoutEnd(head.to_vec(), chunk(&"x".repeat(8 * 1024)))
+    ServerAction::AnswerWithoutEnd(chunked_response_head(), chunk(&"x".repeat(8 * 1024)))
 }
 
 /// A reply of a cache server with more and more long elements.
@@ -53,10 +53,10 @@
 }
 
 /// Sends reads that get replies without an end, and reads of other keys beside them. The latter must all be
-/// served, and each request must be answered in time.
-fn assert_all_reads_are_answered_in_time(server_list: &str) {
+/// served, each request must be answered in time, and the node must stay within its memory limit.
+fn assert_all_reads_are_answered_in_time(server_list: &str, memory_mb: usize) {
     let (discovery, _updates, _calls) = idle_discovery();
-    let node = Node::start_with_settings(discovery, server_list, (256, MEMORY_MB), "", default_settings());
+    let node = Node::start_with_settings(discovery, server_list, (256, memory_mb), "", default_settings());
     // A node may refuse requests of a burst that comes before its first reply; that is not judged here.
     let mut client = node.connect_client();
     assert_eq!(client.request(&get("first", "first")).unwrap(), "value");
@@ -71,16 +71,32 @@
     for client in affected {
         client.join().expect("each request is answered in time");
     }
+    let peak_kib = node.peak_resident_kib();
+    assert!(peak_kib <= memory_mb * 1024, "{peak_kib} KiB of {memory_mb} MiB");
 }
 
-#[test]
-fn responses_of_the_origin_that_never_end_delay_no_other_request() {
-    // Guards against a node that spends its only thread on a chunked body that never ends.
+/// Starts a cache server that has all keys but those whose replies never end, and an origin that answers
+/// these without an end.
+fn start_servers_with_endless_origin() -> [StandIn; 2] {
     let cache = cache_server(|parts| {
         ServerAction::Answer(if parts[1].starts_with(ENDLESS_KEY_PREFIX) { miss() } else { hit("value") })
     });
-    let origin = origin_server(|_| endless_chunked_response());
-    assert_all_reads_are_answered_in_time(&list_of_one_cache(cache.address, origin.address));
+    [cache, origin_server(|_| endless_chunked_response())]
+}
+
+#[test]
+fn responses_of_the_origin_that_never_end_delay_no_other_request() {
+    // Guards against a node that spends its only thread on a chunked body that never ends.
+    let [cache, origin] = start_servers_with_endless_origin();
+    assert_all_reads_are_answered_in_time(&list_of_one_cache(cache.address, origin.address), MEMORY_MB);
+}
+
+#[test]
+fn responses_of_the_origin_that_never_end_stay_within_a_small_memory_limit() {
+    // Guards against a node that is killed because it reserves little for a body and then holds megabytes.
+    let [cache, origin] = start_servers_with_endless_origin();
+    let list = list_of_one_cache(cache.address, origin.address);
+    assert_all_reads_are_answered_in_time(&list, SMALL_MEMORY_MB);
 }
 
 #[test]
@@ -92,5 +108,6 @@
     });
     let sound_cache = cache_server(|_| ServerAction::Answer(hit("value")));
     let caches = [endless_cache.address, sound_cache.address];
-    assert_all_reads_are_answered_in_time(&list_of_two_caches(caches, failing_origin().address));
+    let list = list_of_two_caches(caches, failing_origin().address);
+    assert_all_reads_are_answered_in_time(&list, MEMORY_MB);
 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -32,7 +32,7 @@
 /// Starts a discovery service that accepts a watch and sends a list only if the test passes one to the
 /// returned sender.
 fn idle_discovery() -> (SocketAddr, std::sync::mpsc::Sender<Vec<u8>>, std::sync::mpsc::Receiver<String>) {
-    discovery_server(vec![watch_head()])
+    discovery_server(vec![chunked_response_head()])
 }
 
 /// Starts an origin that answers every request with status 500, for tests that need no working one.
@@ -426,8 +426,9 @@
     );
     let origin = failing_origin();
     let refusal = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_vec();
-    let truncated_list = [watch_head(), chunk("{\"index\":9,\"endpoints\":[{\"na\n")].concat();
-    let (discovery, updates, calls) = discovery_server(vec![refusal, truncated_list, watch_head()]);
+    let truncated_list = [chunked_response_head(), chunk("{\"index\":9,\"endpoints\":[{\"na\n")].concat();
+    let (discovery, updates, calls) =
+        discovery_server(vec![refusal, truncated_list, chunked_response_head()]);
     let entries = [
         server_entry("s-1", first.address, "std", "active"),
         server_entry("s-2", second.address, "std", "active"),
@@ -507,7 +508,8 @@
     let cache = cache_server(|parts| ServerAction::Answer(hit(&parts[1])));
     let origin = failing_origin();
     let refusal = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_vec();
-    let (discovery, updates, calls) = discovery_server(vec![refusal, watch_head(), watch_head()]);
+    let (discovery, updates, calls) =
+        discovery_server(vec![refusal, chunked_response_head(), chunked_response_head()]);
     let node = Node::start_with_pushed_lists(discovery, &server_list(0, true, &[]));
     for _ in 0..3 {
         assert_eq!(calls.recv_timeout(LONG_TIMEOUT).unwrap(), "GET /v1/servers?watch=1 HTTP/1.1");
@@ -533,7 +535,7 @@
         serde_json::to_string_pretty(&list).unwrap()
     };
     let response_with_length = http_response(200, "", &indented_list(6.into(), &caches[1]));
-    let (discovery, updates, calls) = discovery_server(vec![response_with_length, watch_head()]);
+    let (discovery, updates, calls) = discovery_server(vec![response_with_length, chunked_response_head()]);
     let node = Node::start(discovery, &list_of_one_cache(caches[0].address, origin.address));
     let mut client = node.connect_client();
     let mut reads_become = |name| (0..100_000).any(|_| client.request(&get("aa", "1")).unwrap() == name);
@@ -559,7 +561,7 @@
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
             let _ = call_sender.send(());
-            let list_start = [watch_head(), chunk("\n"), chunk("{\"index\":6,")].concat();
+            let list_start = [chunked_response_head(), chunk("\n"), chunk("{\"index\":6,")].concat();
             let mut write_result = stream.write_all(&list_start);
             std::thread::spawn(move || {
                 while write_result.is_ok() {
@@ -605,17 +607,24 @@
 #[test]
 fn answers_longer_than_the_limit_for_client_values_are_forwarded() {
     // Guards against a limit for clients' values that also applied to answers: in a run with slow clients a
-    // quarter of the answers exceeded it and were treated as malformed.
+    // quarter of the answers exceeded it and were treated as malformed. The origin states the length of the
+    // answer for `bb`, and sends that for `cc` in chunks.
     let long_value = "v".repeat(400_000);
     let value = long_value.clone();
     let cache =
         cache_server(move |parts| ServerAction::Answer(if parts[1] == "aa" { hit(&value) } else { miss() }));
     let value = long_value.clone();
-    let origin = origin_server(move |_| ServerAction::Answer(http_response(200, "", &value)));
+    let origin = origin_server(move |parts| {
+        ServerAction::Answer(if parts[0].starts_with("GET /bb ") {
+            http_response(200, "", &value)
+        } else {
+            [chunked_response_head(), chunk(&value), b"0\r\n\r\n".to_vec()].concat()
+        })
+    });
     let (discovery, _updates, _calls) = idle_discovery();
     let node = Node::start(discovery, &list_of_one_cache(cache.address, origin.address));
     let mut client = node.connect_client();
-    for (key, id) in [("aa", "1"), ("bb", "2"), ("aa", "3")] {
+    for (key, id) in [("aa", "1"), ("bb", "2"), ("aa", "3"), ("cc", "4")] {
         assert!(client.request(&get(key, id)).unwrap() == long_value, "{key}");
     }
 }
--- a/tests/node/stand_ins.rs
+++ b/tests/node/stand_ins.rs
@@ -306,8 +306,8 @@
     (address, updates, calls)
 }
 
-/// The head of discovery's answer to a watch.
-pub fn watch_head() -> Vec<u8> {
+/// The head of a chunked response, as discovery sends for a watch.
+pub fn chunked_response_head() -> Vec<u8> {
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec()
 }
 
@@ -481,8 +481,17 @@
 
     /// Returns the node's resident memory in KiB.
     pub fn resident_kib(&self) -> usize {
+        self.status_kib("VmRSS:")
+    }
+
+    /// Returns the highest resident memory of the node so far, in KiB.
+    pub fn peak_resident_kib(&self) -> usize {
+        self.status_kib("VmHWM:")
+    }
+
+    fn status_kib(&self, field: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix(field)).unwrap();
         line.trim().trim_end_matches(" kB").parse().unwrap()
     }
 
