Parse a list of discovery once, when it is complete

Operators would see: a node that answers nobody for a moment while it receives a long list in many lines. While a list was incomplete, each read with a line end in the list so far parsed all of it anew, and lists may come indented, so the work grew with the square of the list's length. Change: ListReader scans only new bytes for the end of a list, and parses a list once, when it is complete. A complete list no longer waits for the line end after it. A list that can't become valid is found at its end, or by the time-out of its watch, where the parser found it at the next line end before.

Measured: a_long_list_in_many_lines_is_read_before_its_watch_times_out failed before (after 2.5 s 41 kB of 1.3 MB were read, line by line) and passes. fmt, clippy, the unit tests and the tests of the node passed.

--- a/src/bin/pondproxy-node/discovery/call.rs
+++ b/src/bin/pondproxy-node/discovery/call.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::list::{self, ListUpdate, MalformedList};
+use super::list::{self, ListReader, ListUpdate, MalformedList};
 use super::{CallEvent, CallId};
 use crate::event_loop::NodeEvent;
 use crate::http::{self, ChunkedDecoder};
@@ -25,7 +25,7 @@
 const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time without a list or an empty line after which a call has failed; on a watch, discovery sends a line
 /// every 2 s.
-const WATCH_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
+pub(super) const WATCH_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Size of one read from the socket.
 const READ_SIZE_BYTES: usize = 16 * 1024;
 /// Maximum size of one list.
@@ -192,7 +192,7 @@
         let mut read_deadline = Instant::now() + WATCH_IDLE_TIMEOUT;
         loop {
             body.consume(raw)?;
-            if (body.ended || body.content.contains(&b'\n')) && self.report_lists(&mut body.content).await? {
+            if self.report_lists(body).await? {
                 read_deadline = self.last_contact_at + WATCH_IDLE_TIMEOUT;
             }
             if body.ended {
@@ -225,8 +225,8 @@
     }
 
     /// Reports the complete lists; returns whether there was a list or an empty line.
-    async fn report_lists(&mut self, content: &mut BytesMut) -> Result<bool, CallError> {
-        let parsed = list::take_lists(content)?;
+    async fn report_lists(&mut self, body: &mut Body) -> Result<bool, CallError> {
+        let parsed = body.list_reader.take_lists(&mut body.content)?;
         for list in parsed.lists {
             self.report(CallEvent::List(list)).await;
         }
@@ -275,6 +275,8 @@
 struct Body {
     /// Decoded content that has not been parsed as a list yet.
     content: BytesMut,
+    /// Finds the lists in the content.
+    list_reader: ListReader,
     /// Decoder for a chunked body.
     chunked_decoder: Option<ChunkedDecoder>,
     /// Bytes still to come of a body that is not chunked; at first `usize::MAX` if no length is stated.
