Split the task of a server connection into short functions, and replies into a module

Cause: ConnTask::run did everything from connecting to reading a reply in one function of 70 lines. Change: one function for each step, and the decoding of a reply and its memory in upstream_pool/reply.rs. An idle connection no longer holds a buffer of 2 KiB.

--- a/src/bin/pondproxy-node/upstream_pool.rs
+++ b/src/bin/pondproxy-node/upstream_pool.rs
@@ -5,6 +5,7 @@
 //! attempt is given up.
 
 mod connection;
+mod reply;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -20,8 +21,9 @@
 use crate::connection_slots::{ConnectionSlots, ServerSlot};
 use crate::event_loop::NodeEvent;
 use crate::memory_budget::MemoryBudget;
-pub use connection::{ConnEvent, MalformedReply, Protocol, ServerReply};
+pub use connection::{ConnEvent, Protocol};
 use connection::{ConnRequest, ConnTask};
+pub use reply::{MalformedReply, ServerReply};
 
 /// Time after a reply before a connection is used again. A duplicate reply or stray bytes may arrive shortly
 /// after a valid reply, and must be noticed before the next request is written, or they would be read as the
--- a/src/bin/pondproxy-node/upstream_pool/connection.rs
+++ b/src/bin/pondproxy-node/upstream_pool/connection.rs
@@ -7,18 +7,16 @@
 
 use bytes::{Bytes, BytesMut};
 use pondproxy::settings::Deployment;
-use pondproxy::{CacheLookup, LoadReport, Status};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
 use super::ConnId;
+use super::reply::{MalformedReply, ReplyDecoder, ReplyMemory, ServerReply};
 use crate::client_socket::ClientLiveness;
 use crate::event_loop::NodeEvent;
-use crate::memory_budget::{MemoryBudget, MemoryReservation};
-use crate::origin_protocol::ResponseDecoder;
+use crate::memory_budget::MemoryBudget;
 use crate::resp::MAX_VALUE_BYTES;
 use crate::stream_io::{self, PeekResult};
-use crate::{cache_protocol, resp};
 
 /// A reply that has begun counts as malformed if no more of it arrives within the longest latency target of a
 /// class divided by this.
@@ -33,13 +31,6 @@
 /// An incomplete reply waits for a reservation of memory once more than this many of its bytes have arrived.
 /// A reservation is for at least twice `MAX_VALUE_BYTES`, and a shorter reply does not have to wait for it.
 const UNRESERVED_REPLY_BYTES: usize = 4096;
-/// Number of copies of a reply for which memory is reserved: the received one, and the answer to the client.
-const RESERVED_COPIES: usize = 2;
-/// Length by which the reservation of a reply grows.
-const GROWTH_STEP_BYTES: usize = 64 * 1024;
-/// What may arrive with a value and needs no reservation of its own: framing, a load report, and the end of
-/// the last read.
-const REPLY_OVERHEAD_BYTES: usize = 16 * 1024;
 /// Minimum space for one read of a reply.
 const MIN_READ_BYTES: usize = 2048;
 /// Space for one read once a reply has turned out to be long.
@@ -48,41 +39,6 @@
 /// closing their connections.
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(3600);
 
-/// Why a server's reply cannot be used. Its connection cannot carry another request.
-#[derive(Debug, PartialEq, Clone, Copy)]
-pub enum MalformedReply {
-    /// The reply violates its protocol, or states no length where one is needed.
-    Invalid,
-    /// The reply is longer than the node accepts.
-    TooLong,
-    /// The rest of the reply did not arrive in time.
-    Stalled,
-    /// The reply became longer than expected, and the memory budget is exhausted.
-    NoMemory,
-}
-
-impl std::fmt::Display for MalformedReply {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            MalformedReply::Invalid => write!(f, "invalid"),
-            MalformedReply::TooLong => write!(f, "too long"),
-            MalformedReply::Stalled => write!(f, "its rest did not arrive in time"),
-            MalformedReply::NoMemory => write!(f, "no memory is left for it"),
-        }
-    }
-}
-
-/// A parsed reply of a cache server or the origin.
-#[derive(Debug, PartialEq)]
-pub struct ServerReply {
-    pub status: Status,
-    pub lookup: CacheLookup,
-    pub load: LoadReport,
-    pub value: Option<Bytes>,
-    /// Whether the connection can carry another request.
-    pub keep_alive: bool,
-}
-
 /// What a connection's task reports to the event loop.
 #[derive(Debug)]
 pub enum ConnEvent {
@@ -101,6 +57,17 @@
     Failed { written: bool },
 }
 
+impl ConnEvent {
+    /// Whether the connection can carry another request after this event.
+    fn keeps_connection(&self) -> bool {
+        match self {
+            ConnEvent::Connected | ConnEvent::NotSent => true,
+            ConnEvent::Reply(reply) => reply.keep_alive,
+            ConnEvent::Malformed(_) | ConnEvent::Failed { .. } => false,
+        }
+    }
+}
+
 /// The protocol that a server speaks.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Protocol {
@@ -119,6 +86,22 @@
     stream_io::peek(stream) == PeekResult::Empty
 }
 
+/// Writes a whole request; returns `false` if the connection was lost or the client disconnected before that.
+async fn write_request(stream: &TcpStream, request: &[u8], client: &ClientLiveness) -> bool {
+    let mut unwritten = request;
+    while !unwritten.is_empty() {
+        // A partly written request is not completed once its client has disconnected.
+        if unwritten.len() < request.len() && client.disconnected() {
+            return false;
+        }
+        match stream_io::write(stream, unwritten).await {
+            Ok(count) if count > 0 => unwritten = &unwritten[count..],
+            _ => return false,
+        }
+    }
+    true
+}
+
 /// The task that owns one connection.
 pub struct ConnTask {
     pub id: ConnId,
@@ -132,67 +115,66 @@
 impl ConnTask {
     /// Opens the connection and carries requests one after the other, until the connection is lost.
     pub async fn run(&mut self, address: SocketAddr) -> ConnEvent {
-        // A host that is down does not answer at all, so connecting has its own time-out.
-        let connect_timeout = Duration::from_micros(self.deployment.settings.connect_timeout.max(1_000));
-        let Ok(Ok(stream)) = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await else {
-            return ConnEvent::Failed { written: false };
-        };
-        let _ = stream.set_nodelay(true);
-        let mut buffer = BytesMut::new();
+        let Some(stream) = self.connect(address).await else { return ConnEvent::Failed { written: false } };
         let mut event = ConnEvent::Connected;
         loop {
             if self.event_sender.send(NodeEvent::Connection(self.id, event)).await.is_err() {
                 return ConnEvent::Failed { written: false };
             }
-            buffer.reserve(MIN_READ_BYTES);
-            let next_request = tokio::select! {
-                // Reading is polled first: nothing is written to a connection that the server has closed, so
-                // a request for it is known not to have been executed.
-                biased;
-                _ = stream_io::read(&stream, &mut buffer) => return ConnEvent::Failed { written: false },
-                next_request = self.request_receiver.recv() => next_request,
-            };
-            let Some(ConnRequest { request, client }) = next_request else {
+            let Some(request) = self.receive_request(&stream).await else {
                 return ConnEvent::Failed { written: false };
             };
-            // The client may have disconnected since its request was given to this connection; the server
-            // should not execute such a request.
-            if client.disconnected_after_unread_input().await {
-                event = ConnEvent::NotSent;
-                continue;
-            }
-            // A close, or a reply that belongs to no request, may have arrived without a report by the
-            // runtime so far. The kernel is asked, so that no request is written after either.
-            if !nothing_received(&stream) {
-                return ConnEvent::Failed { written: false };
-            }
-            let mut unwritten = &request[..];
-            while !unwritten.is_empty() {
-                // A partly written request is not completed once its client has disconnected.
-                if unwritten.len() < request.len() && client.disconnected() {
-                    return ConnEvent::Failed { written: false };
-                }
-                match stream_io::write(&stream, unwritten).await {
-                    Ok(count) if count > 0 => unwritten = &unwritten[count..],
-                    _ => return ConnEvent::Failed { written: false },
-                }
-            }
-            drop(request);
-            let reply = match self.read_reply(&stream, &mut buffer).await {
-                Ok(reply) => reply,
-                Err(event) => return event,
-            };
-            // Bytes after the reply belong to no request, and nothing after them could be matched to one.
-            let has_extra_bytes = !buffer.is_empty() || !nothing_received(&stream);
-            let keep_alive = reply.keep_alive && !has_extra_bytes;
-            buffer = BytesMut::new();
-            event = ConnEvent::Reply(ServerReply { keep_alive, ..reply });
-            if !keep_alive {
+            event = self.carry(&stream, request).await;
+            if !event.keeps_connection() {
                 return event;
             }
         }
     }
 
+    async fn connect(&self, address: SocketAddr) -> Option<TcpStream> {
+        // A host that is down does not answer at all, so connecting has its own time-out.
+        let connect_timeout = Duration::from_micros(self.deployment.settings.connect_timeout.max(1_000));
+        let stream = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        Some(stream)
+    }
+
+    /// Waits for the next request; returns `None` if the connection is lost or no longer needed.
+    async fn receive_request(&mut self, stream: &TcpStream) -> Option<ConnRequest> {
+        let mut unexpected_input = BytesMut::new();
+        tokio::select! {
+            // Reading is polled first: nothing is written to a connection that the server has closed, so a
+            // request for it is known not to have been executed.
+            biased;
+            _ = stream_io::read(stream, &mut unexpected_input) => None,
+            request = self.request_receiver.recv() => request,
+        }
+    }
+
+    /// Writes a request and reads its reply.
+    async fn carry(&self, stream: &TcpStream, conn_request: ConnRequest) -> ConnEvent {
+        let ConnRequest { request, client } = conn_request;
+        // The client may have disconnected since its request was given to this connection; the server should
+        // not execute such a request.
+        if client.disconnected_after_unread_input().await {
+            return ConnEvent::NotSent;
+        }
+        // A close, or a reply that belongs to no request, may have arrived without a report by the runtime so
+        // far. The kernel is asked, so that no request is written after either.
+        if !nothing_received(stream) || !write_request(stream, &request, &client).await {
+            return ConnEvent::Failed { written: false };
+        }
+        drop(request);
+        let mut buffer = BytesMut::new();
+        let reply = match self.read_reply(stream, &mut buffer).await {
+            Ok(reply) => reply,
+            Err(event) => return event,
+        };
+        // Bytes after the reply belong to no request, and nothing after them could be matched to one.
+        let has_extra_bytes = !buffer.is_empty() || !nothing_received(stream);
+        ConnEvent::Reply(ServerReply { keep_alive: reply.keep_alive && !has_extra_bytes, ..reply })
+    }
+
     /// Reads until the reply to the request that was written is complete. `buffer` must be empty at first,
     /// and what follows the reply is left in it.
     async fn read_reply(&self, stream: &TcpStream, buffer: &mut BytesMut) -> Result<ServerReply, ConnEvent> {
@@ -242,83 +224,3 @@
         (self.memory.total_bytes() / MAX_REPLY_MEMORY_DIVISOR).min(MAX_REPLY_BYTES)
     }
 }
-
-/// The memory that is reserved for a reply. It grows with the reply, because not every reply states its
-/// length.
-struct ReplyMemory<'a> {
-    budget: &'a MemoryBudget,
-    reservations: Vec<MemoryReservation>,
-    /// Length of a reply that the reservations are enough for.
-    covered_bytes: usize,
-}
-
-impl<'a> ReplyMemory<'a> {
-    fn new(budget: &'a MemoryBudget) -> Self {
-        ReplyMemory { budget, reservations: Vec::new(), covered_bytes: 0 }
-    }
-
-    /// Makes sure that memory is reserved for the received part of a reply. Long replies may together exceed
-    /// the memory budget, so each waits for its first reservation, which is for `expected_bytes`. A reply
-    /// that becomes longer than that does not wait, because it holds memory that others may be waiting for;
-    /// returns `false` if there is none left for it.
-    async fn reserve_for(&mut self, received_bytes: usize, expected_bytes: usize) -> bool {
-        if self.reservations.is_empty() {
-            self.reservations.push(self.budget.reserve(RESERVED_COPIES * expected_bytes).await);
-            self.covered_bytes = expected_bytes + REPLY_OVERHEAD_BYTES;
-        }
-        while self.covered_bytes < received_bytes {
-            let Some(reservation) = self.budget.try_reserve_reply_growth(RESERVED_COPIES * GROWTH_STEP_BYTES)
-            else {
-                return false;
-            };
-            self.reservations.push(reservation);
-            self.covered_bytes += GROWTH_STEP_BYTES;
-        }
-        true
-    }
-}
-
-/// Decodes one reply as its bytes arrive.
-enum ReplyDecoder {
-    Resp { max_value_bytes: usize },
-    Http(ResponseDecoder),
-}
-
-impl ReplyDecoder {
-    fn new(protocol: Protocol, max_value_bytes: usize) -> Self {
-        match protocol {
-            Protocol::Resp => ReplyDecoder::Resp { max_value_bytes },
-            Protocol::Http => ReplyDecoder::Http(ResponseDecoder::new(max_value_bytes)),
-        }
-    }
-
-    /// Removes what can be decoded from the front of the input; returns the reply once it is complete.
-    fn decode(
-        &mut self,
-        input: &mut BytesMut,
-        load_names: &[String],
-    ) -> Result<Option<ServerReply>, MalformedReply> {
-        match self {
-            ReplyDecoder::Resp { max_value_bytes } => {
-                cache_protocol::decode(input, load_names, *max_value_bytes)
-            }
-            ReplyDecoder::Http(decoder) => decoder.decode(input, load_names),
-        }
-    }
-
-    /// Returns the length that the reply states for its value, if that has arrived.
-    fn declared_length(&self, input: &[u8]) -> Option<usize> {
-        match self {
-            ReplyDecoder::Resp { .. } => resp::declared_length(input),
-            ReplyDecoder::Http(decoder) => decoder.declared_length(),
-        }
-    }
-
-    /// Returns how many bytes the decoder has taken from the input and holds.
-    fn held_bytes(&self) -> usize {
-        match self {
-            ReplyDecoder::Resp { .. } => 0,
-            ReplyDecoder::Http(decoder) => decoder.held_bytes(),
-        }
-    }
-}
