Make room for a long reply once, when its memory is reserved

Cause: since the reservation of a reply grows, room for at least 8 KiB was asked for at each read, so that near the end of a long value its buffer was reallocated at twice the size. Change: the room is made once, with the first reservation, which is a function of its own now. Result: found by reading, not measured; fmt, clippy, the unit tests and the tests of the node passed.

--- a/src/bin/pondproxy-node/upstream_pool/connection.rs
+++ b/src/bin/pondproxy-node/upstream_pool/connection.rs
@@ -11,7 +11,9 @@
 use tokio::sync::mpsc;
 
 use super::ConnId;
-use super::reply::{MalformedReply, ReplyDecoder, ReplyMemory, ServerReply};
+use super::reply::{
+    MalformedReply, REPLY_OVERHEAD_BYTES, ReplyDecoder, ReplyMemory, ServerReply, UNRESERVED_REPLY_BYTES,
+};
 use crate::client_socket::ClientLiveness;
 use crate::event_loop::NodeEvent;
 use crate::memory_budget::MemoryBudget;
@@ -28,13 +30,8 @@
 const MAX_REPLY_BYTES: usize = 4 * 1024 * 1024;
 /// The value in a server's reply may be at most as long as the memory budget divided by this.
 const MAX_REPLY_MEMORY_DIVISOR: usize = 4;
-/// An incomplete reply waits for a reservation of memory once more than this many of its bytes have arrived.
-/// A reservation is for at least twice `MAX_VALUE_BYTES`, and a shorter reply does not have to wait for it.
-const UNRESERVED_REPLY_BYTES: usize = 4096;
 /// Minimum space for one read of a reply.
 const MIN_READ_BYTES: usize = 2048;
-/// Space for one read once a reply has turned out to be long.
-const LONG_REPLY_READ_BYTES: usize = 8 * 1024;
 /// Time-out for the first byte of a reply. In effect unlimited, because the event loop gives attempts up by
 /// closing their connections.
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(3600);
@@ -180,7 +177,7 @@
     async fn read_reply(&self, stream: &TcpStream, buffer: &mut BytesMut) -> Result<ServerReply, ConnEvent> {
         let max_reply_bytes = self.max_reply_bytes();
         let mut decoder = ReplyDecoder::new(self.protocol, max_reply_bytes);
-        let mut reply_memory = ReplyMemory::new(&self.memory);
+        let mut memory = ReplyMemory::new(&self.memory);
         let mut read_timeout = FIRST_BYTE_TIMEOUT;
         loop {
             buffer.reserve(MIN_READ_BYTES);
@@ -198,14 +195,13 @@
                 return Ok(reply);
             }
             let received_bytes = buffer.len() + decoder.held_bytes();
-            if received_bytes > UNRESERVED_REPLY_BYTES {
-                let declared_length = decoder.declared_length(buffer).unwrap_or(0);
-                let expected_bytes = declared_length.clamp(MAX_VALUE_BYTES, max_reply_bytes);
-                if !reply_memory.reserve_for(received_bytes, expected_bytes).await {
-                    return Err(ConnEvent::Malformed(MalformedReply::NoMemory));
-                }
-                let remaining_bytes = declared_length.min(max_reply_bytes).saturating_sub(received_bytes);
-                buffer.reserve(remaining_bytes.max(LONG_REPLY_READ_BYTES));
+            if received_bytes > UNRESERVED_REPLY_BYTES && !memory.is_reserved() {
+                let declared_length = decoder.declared_length(buffer).unwrap_or(0).min(max_reply_bytes);
+                memory.reserve(declared_length.max(MAX_VALUE_BYTES)).await;
+                buffer.reserve(declared_length.saturating_sub(received_bytes) + REPLY_OVERHEAD_BYTES);
+            }
+            if !memory.grow_to(received_bytes) {
+                return Err(ConnEvent::Malformed(MalformedReply::NoMemory));
             }
         }
     }
--- a/src/bin/pondproxy-node/upstream_pool/reply.rs
+++ b/src/bin/pondproxy-node/upstream_pool/reply.rs
@@ -9,13 +9,16 @@
 use crate::origin_protocol::ResponseDecoder;
 use crate::{cache_protocol, resp};
 
+/// An incomplete reply waits for a reservation of memory once more than this many of its bytes have arrived.
+/// A reservation is for at least twice `MAX_VALUE_BYTES`, and a shorter reply does not have to wait for it.
+pub const UNRESERVED_REPLY_BYTES: usize = 4096;
 /// Number of copies of a reply for which memory is reserved: the received one, and the answer to the client.
 const RESERVED_COPIES: usize = 2;
 /// Length by which the reservation of a reply grows.
 const GROWTH_STEP_BYTES: usize = 64 * 1024;
 /// What may arrive with a value and needs no reservation of its own: framing, a load report, and the end of
 /// the last read.
-const REPLY_OVERHEAD_BYTES: usize = 16 * 1024;
+pub const REPLY_OVERHEAD_BYTES: usize = 16 * 1024;
 
 /// Why a server's reply cannot be used. Its connection cannot carry another request.
 #[derive(Debug, PartialEq, Clone, Copy)]
@@ -63,23 +66,27 @@
 
 impl<'a> ReplyMemory<'a> {
     pub fn new(budget: &'a MemoryBudget) -> Self {
-        ReplyMemory { budget, reservations: Vec::new(), covered_bytes: 0 }
+        ReplyMemory { budget, reservations: Vec::new(), covered_bytes: UNRESERVED_REPLY_BYTES }
     }
 
-    /// Makes sure that memory is reserved for the received part of a reply. Long replies may together exceed
-    /// the memory budget, so each waits for its first reservation, which is for `expected_bytes`. A reply
-    /// that becomes longer than that does not wait, because it holds memory that others may be waiting for;
-    /// returns `false` if there is none left for it.
-    pub async fn reserve_for(&mut self, received_bytes: usize, expected_bytes: usize) -> bool {
-        if self.reservations.is_empty() {
-            self.reservations.push(self.budget.reserve(RESERVED_COPIES * expected_bytes).await);
-            self.covered_bytes = expected_bytes + REPLY_OVERHEAD_BYTES;
-        }
+    /// Whether the first reservation was made.
+    pub fn is_reserved(&self) -> bool {
+        !self.reservations.is_empty()
+    }
+
+    /// Makes the first reservation, for a reply with a value of `expected_bytes`. Long replies may together
+    /// exceed the memory budget, so each waits for this reservation.
+    pub async fn reserve(&mut self, expected_bytes: usize) {
+        self.reservations.push(self.budget.reserve(RESERVED_COPIES * expected_bytes).await);
+        self.covered_bytes = expected_bytes + REPLY_OVERHEAD_BYTES;
+    }
+
+    /// Reserves more memory if a reply has become longer than expected; returns `false` if none is left. Does
+    /// not wait, because the reply holds memory that others may be waiting for.
+    pub fn grow_to(&mut self, received_bytes: usize) -> bool {
         while self.covered_bytes < received_bytes {
-            let Some(reservation) = self.budget.try_reserve_reply_growth(RESERVED_COPIES * GROWTH_STEP_BYTES)
-            else {
-                return false;
-            };
+            let growth_bytes = RESERVED_COPIES * GROWTH_STEP_BYTES;
+            let Some(reservation) = self.budget.try_reserve_reply_growth(growth_bytes) else { return false };
             self.reservations.push(reservation);
             self.covered_bytes += GROWTH_STEP_BYTES;
         }
