Test the log lines for a held up event loop and for discarded replies

Cause: brought both lines without a test. Change: a node stopped for 1.5 s logs the late timer, and replies that are too long, stalled or invalid are logged with request, server, attempt and reason.

--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod drain;
 mod endless_replies;
+mod log_lines;
 mod stand_ins;
 mod system_calls;
 
