Repeat an interrupted accept in the tests' server with a full backlog

Change: the stand-in repeats an interrupted accept, as std's listeners do; every other error, its time-out included, still fails the test.

--- a/tests/node/stand_ins.rs
+++ b/tests/node/stand_ins.rs
@@ -3,7 +3,7 @@
 //! All of them communicate over loopback sockets. The stand-ins use none of the node's code; they implement
 //! the server side of its protocols.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -110,14 +110,23 @@
     ) -> StandIn {
         // If the node has given up connecting, the test must fail and not hang.
         self.listener.set_read_timeout(Some(3 * LONG_TIMEOUT)).unwrap();
-        let accept = || TcpStream::from(self.listener.accept().expect("the node keeps trying to connect").0);
-        let accepted: Vec<_> = (0..=self.backlog_streams.len()).map(|_| accept()).collect();
+        let accepted: Vec<_> = (0..=self.backlog_streams.len()).map(|_| accept(&self.listener)).collect();
         self.listener.set_read_timeout(None).unwrap();
         self.listener.listen(64).unwrap();
         start_stand_in_on(self.listener.into(), accepted, read_command, respond)
     }
 }
 
+/// Accepts a connection. A call with a time-out can be interrupted, and is then repeated.
+fn accept(listener: &Socket) -> TcpStream {
+    loop {
+        match listener.accept() {
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            result => return result.expect("the node keeps trying to connect").0.into(),
+        }
+    }
+}
+
 /// Settings with a connect time-out and deadlines that are long enough for a [`FullBacklogServer`]: on a busy
 /// machine the SYN that is accepted may be the retransmission after 15 s.
 pub fn long_timeout_settings() -> String {
