Let other tasks run while a client takes all that is written to it

Callers would see: no answers for a moment while the node refuses the many commands of one client that reads fast. A session writes replies in a loop that returns to the runtime only when the client's socket is full; the refusals of skipped commands, 512 a write, have no limit. Change: each write uses up a unit of the task's cooperative budget, as those to servers do.

A stall of this kind was not measured at a node.

--- a/src/bin/pondproxy-node/client_sessions.rs
+++ b/src/bin/pondproxy-node/client_sessions.rs
@@ -342,7 +342,7 @@
                 });
             }
             if let Some(pending_write) = &mut self.pending_write {
-                match self.socket.try_write(&pending_write.bytes) {
+                match self.socket.write_available(&pending_write.bytes).await {
                     Ok(count) if count == pending_write.bytes.len() => {
                         self.pending_write = None;
                         self.idle_since = Instant::now();
--- a/src/bin/pondproxy-node/client_socket.rs
+++ b/src/bin/pondproxy-node/client_socket.rs
@@ -113,8 +113,11 @@
         read
     }
 
-    /// Writes as much as the socket's send buffer takes now.
-    pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+    /// Writes as much as the socket's send buffer takes, without waiting for space. Uses up a part of the
+    /// task's cooperative budget, so that a client that reads without pause cannot keep the other tasks of
+    /// the thread from running.
+    pub async fn write_available(&self, bytes: &[u8]) -> io::Result<usize> {
+        tokio::task::consume_budget().await;
         self.stream.try_io(Interest::WRITABLE, || stream_io::write_now(&self.stream, bytes))
     }
 
@@ -191,3 +194,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/pondproxy-node/stream_io.rs
+++ b/src/bin/pondproxy-node/stream_io.rs
@@ -105,4 +105,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub mod tests;
--- a/src/bin/pondproxy-node/stream_io/tests.rs
+++ b/src/bin/pondproxy-node/stream_io/tests.rs
@@ -10,13 +10,13 @@
 use super::*;
 
 /// Number of transfers in a row that never wait for the socket; more than a task may make before it yields.
-const TRANSFERS: usize = 1_000;
+pub const TRANSFERS: usize = 1_000;
 /// Bytes of one transfer. All transfers together fit the kernel's socket buffers.
-const TRANSFER_BYTES: usize = 8;
+pub const TRANSFER_BYTES: usize = 8;
 
 /// Returns a connection that is ready for reading and writing, and its peer, which has sent enough for
 /// `TRANSFERS` reads.
-async fn ready_connection() -> (TcpStream, Peer) {
+pub async fn ready_connection() -> (TcpStream, Peer) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let mut peer = listener.accept().unwrap().0;
@@ -27,7 +27,7 @@
 }
 
 /// Whether another task of the same thread runs while `transfers` run.
-async fn other_task_runs_during(transfers: Pin<Box<dyn Future<Output = ()> + '_>>) -> bool {
+pub async fn other_task_runs_during(transfers: Pin<Box<dyn Future<Output = ()> + '_>>) -> bool {
     let has_run = Arc::new(AtomicBool::new(false));
     let flag = has_run.clone();
     tokio::spawn(async move { flag.store(true, Ordering::Relaxed) });
@@ -35,7 +35,7 @@
     has_run.load(Ordering::Relaxed)
 }
 
-fn block_on<T>(future: impl Future<Output = T>) -> T {
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
     tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(future)
 }
 
