Review case 7: leaving clients shut the gate to the origin for good

Cause: when a client leaves, all its requests are deleted from the event loop's table before the module has heard of each. Between the two the module may send a deferred one; start_attempt finds no request and returns without an outcome, and the call stays counted at the gate. With the gate at its floor one such call blocks all fetches until a restart.

Case: the origin turns calls away for 8 s, and clients with 12 open commands leave. In the calm time after that, 16 reads of keys that no cache holds are sent one by one.

Nothing is fixed.

--- a/review/cases_2/main.rs
+++ b/review/cases_2/main.rs
@@ -2,6 +2,7 @@
 //! exits with 0 if the rule held, 1 if it was broken, and 2 if the case couldn't run.
 
 mod foreign;
+mod gate;
 mod stage;
 
 use std::process::ExitCode;
@@ -15,6 +16,7 @@
     let [_, name, folder] = arguments.as_slice() else { return ExitCode::from(2) };
     let play = match name.as_str() {
         "foreign" => foreign::play,
+        "gate" => gate::play,
         _ => return ExitCode::from(2),
     };
     stage::open_record(folder);
