--- a/review/cases_2/main.rs
+++ b/review/cases_2/main.rs
@@ -3,6 +3,7 @@
 
 mod foreign;
 mod gate;
+mod nolength;
 mod stage;
 
 use std::process::ExitCode;
@@ -17,6 +18,7 @@
     let play = match name.as_str() {
         "foreign" => foreign::play,
         "gate" => gate::play,
+        "nolength" => nolength::play,
         _ => return ExitCode::from(2),
     };
     stage::open_record(folder);
