Review case 7: refusals behind a hanging read are unanswered at SIGKILL

Cause: on SIGTERM the drain deadline is the longest deadline of a class, without the cap of 3 s that PROTOCOL and the shared terms state for SIGKILL. A read that is open at a hanging server keeps its connection open past SIGKILL, and refusals wait behind it for their turn.

Clients go on sending on the connections that stay open.

Nothing is fixed.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/release/pondproxy-node ] && [ -x target/review-2/cases ] || exit 2
-exec target/review-2/cases gate "$folder"
+exec target/review-2/cases shutdown "$folder"
--- a/review/cases_2/main.rs
+++ b/review/cases_2/main.rs
@@ -2,8 +2,8 @@
 //! exits with 0 if the rule held, 1 if it was broken, and 2 if the case couldn't run.
 
 mod foreign;
-mod gate;
 mod nolength;
+mod shutdown;
 mod stage;
 
 use std::process::ExitCode;
@@ -17,8 +17,8 @@
     let [_, name, folder] = arguments.as_slice() else { return ExitCode::from(2) };
     let play = match name.as_str() {
         "foreign" => foreign::play,
-        "gate" => gate::play,
         "nolength" => nolength::play,
+        "shutdown" => shutdown::play,
         _ => return ExitCode::from(2),
     };
     stage::open_record(folder);
--- a/review/cases_2/stage.rs
+++ b/review/cases_2/stage.rs
@@ -15,7 +15,7 @@
 /// Interval of the empty lines on a watch (PROTOCOL: every 2 s).
 const EMPTY_LINE_INTERVAL: Duration = Duration::from_secs(2);
 /// The settings of the deployment: one node, a read class, and two classes of writes.
-const SETTINGS: &str = include_str!("settings.json");
+pub const SETTINGS: &str = include_str!("settings.json");
 /// The limits of the node (TERMS: 32 to 192 MB, 256 to 1,024 descriptors).
 const LIMITS: &str = r#"{"cores":1.0,"memory_mb":128,"sockets":1024}"#;
 /// Time within which the node has to answer `PING` with `+PONG` (STANDING: 30 s).
@@ -148,17 +148,13 @@
 
 /// A request to the origin.
 pub struct OriginRequest {
-    /// The key.
-    pub key: String,
     /// The client's request id, from `X-Correlation-Id`.
     pub id: String,
 }
 
 /// Reads a request to the origin; `None` at the end of the connection.
 pub fn read_origin_request(reader: &mut impl BufRead) -> Option<OriginRequest> {
-    let first = read_line(reader)?;
-    let mut words = first.split(' ');
-    let path = words.nth(1)?.to_string();
+    read_line(reader)?;
     let (mut id, mut length) = (String::new(), 0);
     loop {
         let line = read_line(reader)?;
@@ -174,7 +170,7 @@
     }
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
-    Some(OriginRequest { key: path.trim_start_matches('/').to_string(), id })
+    Some(OriginRequest { id })
 }
 
 /// Reads one answer of the node; `None` at the end of the connection. A bulk string is returned as `$VALUE`,
@@ -305,14 +301,19 @@
 }
 
 impl Node {
-    /// Starts a node and waits until it answers `PING` with `+PONG`.
+    /// Starts a node with the usual settings, and waits until it answers `PING` with `+PONG`.
     pub fn start(discovery: &Discovery) -> Node {
+        Node::start_with(discovery, SETTINGS)
+    }
+
+    /// Starts a node with other settings, and waits until it answers `PING` with `+PONG`.
+    pub fn start_with(discovery: &Discovery, settings: &str) -> Node {
         let folder = std::env::temp_dir().join(format!("pondproxy-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         let (free, address) = listener();
         drop(free);
         let config = format!(
-            r#"{{"name":"n0","listen":"{address}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{LIMITS},"known":{},"settings":{SETTINGS}}}"#,
+            r#"{{"name":"n0","listen":"{address}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{LIMITS},"known":{},"settings":{settings}}}"#,
             discovery.address,
             discovery.list()
         );
@@ -359,6 +360,13 @@
         stream
     }
 
+    /// Sends a signal to the process that `run` started.
+    pub fn signal(&self, name: &str) {
+        let text = format!("kill -{name} {}", self.child.id());
+        let sent = Command::new("/bin/sh").args(["-c", &text]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "the signal is sent");
+    }
+
     /// Whether the process still runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
