Remove timers of answered requests from both queues before their time

What operators saw: memory that grew without end while one client sent small requests at full speed under new names.

Cause: timers of answered requests stayed in the event loop's and the decision module's heaps until their time, several for each request. Ruled out: names that are kept (no growth with any invalid request), and a session that keeps the thread (no late answers).

A dropped task would have had no effect, so the decisions are the same.

--- a/src/bin/pondproxy-node/event_loop.rs
+++ b/src/bin/pondproxy-node/event_loop.rs
@@ -6,13 +6,13 @@
 mod server_lists;
 mod shutdown;
 
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use pondproxy::settings::Deployment;
+use pondproxy::timer_queue::TimerQueue;
 use pondproxy::{Action, Event, ListKind, LoadReport, Micros, Policy, Request, RequestId, ServerId, Status};
 use shutdown::Shutdown;
 use tokio::sync::{mpsc, watch};
@@ -128,7 +128,7 @@
     policy: Policy,
     /// Events that have not been passed to the decision module yet.
     queued_events: VecDeque<Event>,
-    timers: BinaryHeap<Reverse<(Micros, NodeTimer)>>,
+    timers: TimerQueue<NodeTimer>,
     open_requests: HashMap<RequestId, OpenRequest>,
     attempts: HashMap<AttemptId, Attempt>,
     next_request_id: RequestId,
@@ -160,7 +160,7 @@
             clock,
             policy: Policy::new(deployment.settings.clone(), config.seed),
             queued_events: VecDeque::new(),
-            timers: BinaryHeap::new(),
+            timers: TimerQueue::default(),
             open_requests: HashMap::new(),
             attempts: HashMap::new(),
             next_request_id: 1,
@@ -194,7 +194,7 @@
         if !self.deployment.settings.pull_discovery {
             self.discovery.watch_pushed_lists();
         }
-        self.timers.push(Reverse((self.clock.now() + IDLE_SWEEP_INTERVAL_US, NodeTimer::IdleSweep)));
+        self.timers.schedule(self.clock.now() + IDLE_SWEEP_INTERVAL_US, NodeTimer::IdleSweep);
         let mut ready = false;
         loop {
             if !ready && self.servers.any_ready() {
@@ -208,15 +208,14 @@
             }
             let now = self.clock.now();
             self.log_late_timers(now);
-            while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
-                let Some(Reverse((_, timer))) = self.timers.pop() else { break };
+            while let Some(timer) = self.timers.pop_due(now) {
                 if timer == NodeTimer::DrainCheck && self.shutdown_complete(now) {
                     return;
                 }
                 self.handle_timer(timer, now);
             }
-            let next_timer_at =
-                self.timers.peek().map_or(now + IDLE_SWEEP_INTERVAL_US, |Reverse((at, _))| *at);
+            self.compact_timers();
+            let next_timer_at = self.timers.next_time().unwrap_or(now + IDLE_SWEEP_INTERVAL_US);
             tokio::select! {
                 biased;
                 event = event_receiver.recv() => match event {
@@ -230,12 +229,24 @@
 
     /// Logs if the timer that is due first is far past its time: the node's only thread was held up.
     fn log_late_timers(&self, now: Micros) {
-        let lateness_us = self.timers.peek().map_or(0, |Reverse((due_at, _))| now.saturating_sub(*due_at));
+        let lateness_us = self.timers.next_time().map_or(0, |due_at| now.saturating_sub(due_at));
         if lateness_us >= LATE_TIMER_LOG_THRESHOLD_US {
             log(&format!("event loop held up: a timer is late by {} ms", lateness_us / 1_000));
         }
     }
 
+    /// Removes timers of requests and attempts that have ended, if many have accumulated.
+    fn compact_timers(&mut self) {
+        let (open_requests, attempts) = (&self.open_requests, &self.attempts);
+        self.timers.compact(|timer| match timer {
+            NodeTimer::RequestDeadline(id) => {
+                open_requests.get(id).is_some_and(|open_request| !open_request.finished)
+            }
+            NodeTimer::AttemptTimeout(id, attempt_number) => attempts.contains_key(&(*id, *attempt_number)),
+            _ => true,
+        });
+    }
+
     fn handle_event(&mut self, event: NodeEvent) {
         match event {
             NodeEvent::Request(client_request) => self.handle_request(*client_request),
@@ -282,7 +293,7 @@
             }
             NodeTimer::IdleSweep => {
                 self.pool.close_expired_idle(now);
-                self.timers.push(Reverse((now + IDLE_SWEEP_INTERVAL_US, NodeTimer::IdleSweep)));
+                self.timers.schedule(now + IDLE_SWEEP_INTERVAL_US, NodeTimer::IdleSweep);
             }
             NodeTimer::BeginDrain => self.begin_drain(),
             NodeTimer::EndOpenRequests => self.end_open_requests(now),
@@ -323,7 +334,7 @@
                 self.abandon_attempt((request, attempt), Status::Cancelled)
             }
             Action::Timer { delay, token } => {
-                self.timers.push(Reverse((self.clock.now() + delay.max(1), NodeTimer::Policy(token))));
+                self.timers.schedule(self.clock.now() + delay.max(1), NodeTimer::Policy(token));
             }
             Action::Subscribe(subscribed) => self.discovery.subscribe(subscribed),
             Action::FetchList => self.discovery.fetch(),
@@ -375,7 +386,7 @@
             finished,
         };
         self.open_requests.insert(id, open_request);
-        self.timers.push(Reverse((deadline, NodeTimer::RequestDeadline(id))));
+        self.timers.schedule(deadline, NodeTimer::RequestDeadline(id));
         self.dispatch_event(Event::Request(request));
     }
 
--- a/src/bin/pondproxy-node/event_loop/attempts.rs
+++ b/src/bin/pondproxy-node/event_loop/attempts.rs
@@ -1,8 +1,6 @@
 //! The part of the event loop that handles attempts: from the decision module's wish to send a request to a
 //! server, by way of a connection, to the outcome that the module gets.
 
-use std::cmp::Reverse;
-
 use bytes::BytesMut;
 use pondproxy::{CacheLookup, Event, LoadReport, Micros, Outcome, RequestId, ServerId, Status};
 
@@ -44,7 +42,7 @@
             return self.end_attempt(attempt_id, Status::NotSent);
         };
         self.attempts.insert(attempt_id, Attempt { server, sent_at: now, conn_id });
-        self.timers.push(Reverse((timeout_at, NodeTimer::AttemptTimeout(id, attempt_id.1))));
+        self.timers.schedule(timeout_at, NodeTimer::AttemptTimeout(id, attempt_id.1));
         if already_connected {
             self.write_attempt(attempt_id, conn_id);
         }
--- a/src/bin/pondproxy-node/event_loop/shutdown.rs
+++ b/src/bin/pondproxy-node/event_loop/shutdown.rs
@@ -3,8 +3,6 @@
 //! shortly before the platform may send SIGKILL get an error, so that the replies behind them on their
 //! connections can be written too.
 
-use std::cmp::Reverse;
-
 use pondproxy::settings::Deployment;
 use pondproxy::{Micros, RequestId};
 
@@ -49,9 +47,9 @@
         let now = self.clock.now();
         let shutdown = Shutdown::new(&self.deployment, now);
         let drain_at = now + ACCEPT_AFTER_TERMINATE_US;
-        self.timers.push(Reverse((drain_at, NodeTimer::BeginDrain)));
-        self.timers.push(Reverse((drain_at + FIRST_DRAIN_CHECK_DELAY_US, NodeTimer::DrainCheck)));
-        self.timers.push(Reverse((shutdown.answer_deadline, NodeTimer::EndOpenRequests)));
+        self.timers.schedule(drain_at, NodeTimer::BeginDrain);
+        self.timers.schedule(drain_at + FIRST_DRAIN_CHECK_DELAY_US, NodeTimer::DrainCheck);
+        self.timers.schedule(shutdown.answer_deadline, NodeTimer::EndOpenRequests);
         for open_request in self.open_requests.values_mut() {
             open_request.deadline = open_request.deadline.min(shutdown.answer_deadline);
         }
@@ -83,7 +81,7 @@
 
     /// Schedules the next drain check.
     pub(super) fn schedule_drain_check(&mut self, now: Micros) {
-        self.timers.push(Reverse((now + DRAIN_CHECK_INTERVAL_US, NodeTimer::DrainCheck)));
+        self.timers.schedule(now + DRAIN_CHECK_INTERVAL_US, NodeTimer::DrainCheck);
     }
 
     /// Whether the process should exit: every request is finished and no client is connected, or the time for
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 mod policy;
 pub mod settings;
 mod state;
+pub mod timer_queue;
 
 pub use interface::*;
 pub use state::Policy;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -153,7 +153,10 @@
                 }
             }
             Event::DiscoveryMoved => self.handle_discovery_move(),
-            Event::Request(request) => self.handle_request(request, actions),
+            Event::Request(request) => {
+                self.compact_tasks();
+                self.handle_request(request, actions)
+            }
             Event::Outcome(outcome) => self.handle_outcome(outcome, actions),
             // The node passes a streamed answer to the client by itself, and a disconnected client waits for
             // none. Either way the request needs no final answer and has no deadline any more.
@@ -191,6 +194,21 @@
         }
     }
 
+    /// Removes tasks for requests and attempts that have ended, if many have accumulated.
+    fn compact_tasks(&mut self) {
+        let (requests, attempts) = (&self.requests, &self.attempts);
+        self.timers.compact(|task| match task {
+            TimerTask::RequestExpiry(id) => requests.contains_key(id),
+            TimerTask::DeferredRequest(id, deferral) => {
+                requests.get(id).is_some_and(|request_state| request_state.deferral_count == *deferral)
+            }
+            TimerTask::SlowAttempt(id, attempt_number) | TimerTask::MissingAnswer(id, attempt_number) => {
+                attempts.contains_key(&(*id, *attempt_number))
+            }
+            TimerTask::DiscoveryCall | TimerTask::AdmissionReview => true,
+        });
+    }
+
     /// Schedules a task after a delay.
     fn schedule_after(&mut self, delay: Micros, task: TimerTask) {
         self.timers.schedule(self.now + delay, task);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,13 +1,13 @@
 //! State of one balancer: plain data types, counters and smoothed rates, the timer queue, the hash and the
 //! random numbers. Contains no decisions and no I/O.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use oorandom::Rand64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::interface::{Action, DedupScope, Key, Micros, RequestId, ServerEntry, ServerId, Settings};
+use crate::timer_queue::TimerQueue;
 
 /// Decision module of one balancer: its settings, what it has observed and the requests it must answer.
 #[derive(Default)]
@@ -52,7 +52,7 @@
     pub(crate) close_idle_connections: bool,
     /// Rate of admitted requests.
     pub(crate) admitted_rate: RateMeter,
-    pub(crate) timers: TimerQueue,
+    pub(crate) timers: TaskQueue,
     /// Number of consecutive failed calls to discovery; a call that discovery did not accept sets it to 1.
     pub(crate) discovery_failures: u32,
     /// Time of the next call to discovery; `None` if none is scheduled, as while a call or watch is active.
@@ -325,15 +325,20 @@
 
 /// Pending tasks ordered by their times, driven by a single timer of the node.
 #[derive(Default)]
-pub struct TimerQueue {
-    queue: BinaryHeap<Reverse<(Micros, TimerTask)>>,
+pub struct TaskQueue {
+    tasks: TimerQueue<TimerTask>,
     armed_for: Option<Micros>,
 }
 
-impl TimerQueue {
+impl TaskQueue {
     /// Schedules a task.
     pub fn schedule(&mut self, time: Micros, task: TimerTask) {
-        self.queue.push(Reverse((time, task)));
+        self.tasks.schedule(time, task);
+    }
+
+    /// Removes tasks that are no longer needed, if there are many.
+    pub fn compact(&mut self, is_needed: impl Fn(&TimerTask) -> bool) {
+        self.tasks.compact(is_needed);
     }
 
     /// Handles a timer of the node that fired. A timer that was replaced by one for an earlier time still
@@ -345,11 +350,10 @@
     /// Returns the next task that is due; if there is none, ensures that a timer is set for the first pending
     /// task.
     pub fn pop_due(&mut self, now: Micros, actions: &mut Vec<Action>) -> Option<TimerTask> {
-        let &Reverse((time, task)) = self.queue.peek()?;
-        if time <= now {
-            self.queue.pop();
+        if let Some(task) = self.tasks.pop_due(now) {
             return Some(task);
         }
+        let time = self.tasks.next_time()?;
         if self.armed_for.is_none_or(|armed| time < armed) {
             self.armed_for = Some(time);
             actions.push(Action::Timer { delay: time - now, token: 0 });
