Send no write whose id comes again after it may have run

What callers saw: an id ran twice when it came again after its client had left. Played at a node: an unsafe write that is out at the origin is sent again as soon as its client has closed, half-closed or reset its connection and the id comes on a new one (five times in 0.5 s); also where the client left with the reply unread.

Cause: the table of ids knew open requests only, and an id was dropped with its client's session, while the attempt went on. Ruled out: retries of the node (without a second client the write runs once).

Change: ids of writes that may have run are remembered, the last 16,384 as hashes, and a request with one of them gets `-ERR a request with this id may have run`. Ids of refused writes and of reads are free as before.

--- a/src/bin/pondproxy-node/client_sessions.rs
+++ b/src/bin/pondproxy-node/client_sessions.rs
@@ -3,10 +3,10 @@
 //! A session reads commands, hands requests to the event loop, and writes the replies in the order of the
 //! commands. It knows nothing of servers or of how requests are routed.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections::VecDeque;
 use std::io;
 use std::mem::take;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +22,7 @@
 use crate::connection_slots::{ClientId, ClientSlot, ConnectionSlots, Eviction, MIN_IDLE_TIME};
 use crate::event_loop::{Clock, NodeEvent};
 use crate::memory_budget::{MemoryBudget, MemoryReservation};
+use crate::request_ids::{ClaimedId, IdConflict, RequestIds};
 use crate::resp;
 
 /// Maximum number of pending replies of one connection until its first request has been answered, which shows
@@ -73,6 +74,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Reply to a command that was refused and never forwarded.
 const BUSY_REPLY: &str = "-BUSY\r\n";
+/// Start of a reply to a request that was refused and never executed.
+const BUSY_REPLY_START: &[u8] = b"-BUSY";
 /// Maximum number of busy replies that are written at once.
 const MAX_BUSY_REPLIES_PER_WRITE: u64 = 512;
 /// Maximum length of each of a command's key, id and list of facts.
@@ -93,28 +96,8 @@
     pub request_permits: Arc<Semaphore>,
     /// The memory budget of the node.
     pub memory: MemoryBudget,
-    /// Ids of all open requests.
-    pub open_ids: Arc<Mutex<HashSet<Bytes>>>,
-}
-
-/// Reservation of a request id while the request is open. Prevents one client from using the id of another's
-/// open request: the second request is rejected.
-struct OpenRequestId {
-    id: Bytes,
-    open_ids: Arc<Mutex<HashSet<Bytes>>>,
-}
-
-impl OpenRequestId {
-    fn claim(id: &Bytes, open_ids: &Arc<Mutex<HashSet<Bytes>>>) -> Option<OpenRequestId> {
-        let is_new = open_ids.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
-        is_new.then(|| OpenRequestId { id: id.clone(), open_ids: open_ids.clone() })
-    }
-}
-
-impl Drop for OpenRequestId {
-    fn drop(&mut self) {
-        self.open_ids.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
-    }
+    /// Ids of open requests, and of recent ones that may have had side effects.
+    pub request_ids: Arc<RequestIds>,
 }
 
 /// Phase of the life of a node.
@@ -280,8 +263,8 @@
 enum PendingReply {
     /// The request is open. Holds its permit and its id.
     Open {
-        #[expect(dead_code, reason = "held for its drop")]
-        guards: (OwnedSemaphorePermit, OpenRequestId),
+        _permit: OwnedSemaphorePermit,
+        id: ClaimedId,
     },
     Ready(Bytes, Option<MemoryReservation>),
     /// Number of skipped commands, each of which gets a busy reply.
@@ -292,6 +275,16 @@
     fn is_open(&self) -> bool {
         matches!(self, PendingReply::Open { .. })
     }
+
+    /// Ends an open request with its reply.
+    fn set_ready(&mut self, bytes: Bytes, reservation: Option<MemoryReservation>) {
+        if let PendingReply::Open { id, .. } = self
+            && bytes.starts_with(BUSY_REPLY_START)
+        {
+            id.set_never_executed();
+        }
+        *self = PendingReply::Ready(bytes, reservation);
+    }
 }
 
 /// A reply that is being written.
@@ -463,7 +456,7 @@
                             .pending_replies
                             .get_mut(reply_index.saturating_sub(self.first_reply_index) as usize)
                     {
-                        *pending_reply = PendingReply::Ready(bytes, reservation);
+                        pending_reply.set_ready(bytes, reservation);
                     }
                 }
                 () = tokio::task::yield_now(), if unread && !discards_input && !lacks_memory => {
@@ -622,8 +615,11 @@
                 if self.context.phase.borrow().is_shutdown() {
                     return self.queue_reply(BUSY_REPLY);
                 }
-                let Some(id) = OpenRequestId::claim(&command.id, &self.context.open_ids) else {
-                    return self.queue_reply("-ERR a request with this id is open\r\n");
+                let class = &self.context.deployment.settings.classes[command.class];
+                let has_side_effects = class.idempotency != Idempotency::Idempotent;
+                let mut id = match self.context.request_ids.claim(&command.id, has_side_effects) {
+                    Ok(id) => id,
+                    Err(conflict) => return self.queue_reply(conflict_reply(conflict)),
                 };
                 // The limit of open requests or the memory budget is exhausted, so the request is refused and
                 // was never forwarded.
@@ -634,10 +630,11 @@
                         self.context.memory.try_reserve(READ_CHUNK_BYTES + 2 * value_length),
                     )
                 else {
+                    id.set_never_executed();
                     return self.queue_reply(BUSY_REPLY);
                 };
                 let reply_index = self.first_reply_index + self.pending_replies.len() as u64;
-                self.pending_replies.push_back(PendingReply::Open { guards: (permit, id) });
+                self.pending_replies.push_back(PendingReply::Open { _permit: permit, id });
                 let (client, liveness, reply_sender) =
                     (self.client_slot.id(), self.socket.liveness(), self.reply_sender.clone());
                 let request = Box::new(ClientRequest {
@@ -655,6 +652,14 @@
     }
 }
 
+/// Returns the reply to a request whose id cannot be used.
+fn conflict_reply(conflict: IdConflict) -> &'static str {
+    match conflict {
+        IdConflict::Open => "-ERR a request with this id is open\r\n",
+        IdConflict::MayHaveRun => "-ERR a request with this id may have run\r\n",
+    }
+}
+
 /// Whether the result of a read shows that the client has disconnected.
 fn closed_by_client(read: io::Result<usize>) -> bool {
     match read {
--- a/src/bin/pondproxy-node/command_buffer.rs
+++ b/src/bin/pondproxy-node/command_buffer.rs
@@ -89,8 +89,8 @@
         self.bytes.len() + self.chunk_ends.len() * size_of::<ChunkEnd>() >= self.capacity_bytes
     }
 
-    /// Adds reserved memory for `bytes` more bytes. Allocates it at once: a buffer that grew by doubling would
-    /// leave gaps in the heap, which are too small for the next buffer.
+    /// Adds reserved memory for `bytes` more bytes. Allocates it at once: a buffer that grew by doubling
+    /// would leave gaps in the heap, which are too small for the next buffer.
     pub fn add_reservation(&mut self, reservation: MemoryReservation, bytes: usize) {
         self.reservations.push(reservation);
         self.capacity_bytes += bytes;
--- a/src/bin/pondproxy-node/main.rs
+++ b/src/bin/pondproxy-node/main.rs
@@ -13,6 +13,7 @@
 mod memory_budget;
 mod origin_protocol;
 mod reload;
+mod request_ids;
 mod resp;
 mod server_table;
 mod stream_io;
@@ -70,7 +71,7 @@
         connection_slots: connection_slots.clone(),
         request_permits,
         memory: memory.clone(),
-        open_ids: Arc::default(),
+        request_ids: Arc::default(),
     };
     connection_slots.set_accepting(true);
     tokio::spawn(client_sessions::listen(listener, Arc::new(context)));
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -12,6 +12,7 @@
 mod flooding_client;
 mod log_lines;
 mod memory_pressure;
+mod repeated_ids;
 mod shutdown;
 mod stand_ins;
 mod system_calls;
