Send no attempt while its client's close may stand behind unread input

What callers saw: a client closed its connection with much still unread, and its requests were sent on afterwards.

Cause: an attempt waited 50 ms for its client's input to be read and was then sent, whether or not input was still unread.

Change: after that wait the attempt ends as not sent, and the decision module tries again or refuses.

--- a/src/bin/pondproxy-node/client_socket.rs
+++ b/src/bin/pondproxy-node/client_socket.rs
@@ -27,7 +27,7 @@
 
 /// Maximum time for which an attempt waits until its client's input has been read. The client's disconnect
 /// may follow that input, and is reported only once the kernel has buffer space for all input before the
-/// disconnect.
+/// disconnect. After this time the attempt is not sent.
 const MAX_UNREAD_INPUT_WAIT: Duration = Duration::from_millis(50);
 
 /// The socket of a connection to the node, which only its session reads and writes.
@@ -160,6 +160,17 @@
     matches!(poll, Poll::Ready(Ok(ready)) if ready.is_read_closed())
 }
 
+/// Whether a client is still connected.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ClientPresence {
+    /// All input was read, and the client has not closed the connection.
+    Connected,
+    /// The client has closed the connection or its sending side.
+    Disconnected,
+    /// Input is unread, behind which the client may have closed the connection.
+    Unknown,
+}
+
 /// Tells whether a client is still connected, for tasks that are about to do work for it. The task of its
 /// connection may learn of a disconnect later than the kernel.
 #[derive(Clone, Debug)]
@@ -184,17 +195,17 @@
         self.peek() == PeekResult::Closed
     }
 
-    /// As `disconnected`, but waits until the client's input has been read, for at most
-    /// `MAX_UNREAD_INPUT_WAIT`.
-    pub async fn disconnected_after_unread_input(&self) -> bool {
+    /// Waits until the client's input has been read, for at most `MAX_UNREAD_INPUT_WAIT`, and returns whether
+    /// the client is still connected.
+    pub async fn presence_after_unread_input(&self) -> ClientPresence {
         let deadline = Instant::now() + MAX_UNREAD_INPUT_WAIT;
         // The first wait only lets all ready tasks run and the runtime poll the kernel.
         let mut pause = Duration::ZERO;
         loop {
             match self.peek() {
-                PeekResult::Closed => return true,
-                PeekResult::Empty => return false,
-                PeekResult::DataAvailable if Instant::now() >= deadline => return false,
+                PeekResult::Closed => return ClientPresence::Disconnected,
+                PeekResult::Empty => return ClientPresence::Connected,
+                PeekResult::DataAvailable if Instant::now() >= deadline => return ClientPresence::Unknown,
                 PeekResult::DataAvailable if pause.is_zero() => tokio::task::yield_now().await,
                 PeekResult::DataAvailable => tokio::time::sleep(pause).await,
             }
--- a/src/bin/pondproxy-node/event_loop/attempts.rs
+++ b/src/bin/pondproxy-node/event_loop/attempts.rs
@@ -99,14 +99,14 @@
         let attempt_id = self.pool.attempt(conn_id);
         match (event, attempt_id) {
             (ConnEvent::Connected, Some(attempt_id)) => self.write_attempt(attempt_id, conn_id),
-            (ConnEvent::NotSent, Some(attempt_id)) => {
+            (ConnEvent::NotSent { client_disconnected }, Some(attempt_id)) => {
                 let server =
                     self.attempts.get(&attempt_id).and_then(|attempt| self.servers.get(attempt.server));
                 self.pool.release(conn_id, server.map(|server| server.address), self.clock.now());
-                if let Some(client) =
-                    self.open_requests.get(&attempt_id.0).map(|open_request| open_request.client)
-                {
-                    self.abort_unsent_attempt(attempt_id, client);
+                let open_request = self.open_requests.get(&attempt_id.0);
+                match open_request.map(|open_request| open_request.client) {
+                    Some(client) if client_disconnected => self.abort_unsent_attempt(attempt_id, client),
+                    _ => self.end_attempt(attempt_id, Status::NotSent),
                 }
             }
             (ConnEvent::Reply(reply), Some(attempt_id)) => {
--- a/src/bin/pondproxy-node/upstream_pool/connection.rs
+++ b/src/bin/pondproxy-node/upstream_pool/connection.rs
@@ -14,7 +14,7 @@
 use super::reply::{
     MalformedReply, REPLY_OVERHEAD_BYTES, ReplyDecoder, ReplyMemory, ServerReply, UNRESERVED_REPLY_BYTES,
 };
-use crate::client_socket::ClientLiveness;
+use crate::client_socket::{ClientLiveness, ClientPresence};
 use crate::event_loop::NodeEvent;
 use crate::memory_budget::MemoryBudget;
 use crate::resp::MAX_VALUE_BYTES;
@@ -46,9 +46,9 @@
     /// The server sent a reply that cannot be parsed, or did not send the rest of one in time. The request
     /// may have been executed, and the server is reachable.
     Malformed(MalformedReply),
-    /// The request was not written because its client has disconnected. The connection can carry another
-    /// request.
-    NotSent,
+    /// The request was not written because its client has disconnected, or because it is unknown whether the
+    /// client is still connected. The connection can carry another request.
+    NotSent { client_disconnected: bool },
     /// The connection could not be opened or was lost; `written` tells whether the last byte of its request
     /// may have been written.
     Failed { written: bool },
@@ -58,7 +58,7 @@
     /// Whether the connection can carry another request after this event.
     fn keeps_connection(&self) -> bool {
         match self {
-            ConnEvent::Connected | ConnEvent::NotSent => true,
+            ConnEvent::Connected | ConnEvent::NotSent { .. } => true,
             ConnEvent::Reply(reply) => reply.keep_alive,
             ConnEvent::Malformed(_) | ConnEvent::Failed { .. } => false,
         }
@@ -153,8 +153,10 @@
         let ConnRequest { request, client } = conn_request;
         // The client may have disconnected since its request was given to this connection; the server should
         // not execute such a request.
-        if client.disconnected_after_unread_input().await {
-            return ConnEvent::NotSent;
+        match client.presence_after_unread_input().await {
+            ClientPresence::Connected => {}
+            ClientPresence::Disconnected => return ConnEvent::NotSent { client_disconnected: true },
+            ClientPresence::Unknown => return ConnEvent::NotSent { client_disconnected: false },
         }
         // A close, or a reply that belongs to no request, may have arrived without a report by the runtime so
         // far. The kernel is asked, so that no request is written after either.
--- a/src/bin/pondproxy-node/upstream_pool/tests.rs
+++ b/src/bin/pondproxy-node/upstream_pool/tests.rs
@@ -83,7 +83,7 @@
     ];
     for (case, disconnect) in disconnects.into_iter().enumerate() {
         let (event, received) = hand_over_during(disconnect);
-        assert!(matches!(event, ConnEvent::NotSent), "{case}: {event:?}");
+        assert!(matches!(event, ConnEvent::NotSent { client_disconnected: true }), "{case}: {event:?}");
         assert_eq!(received, b"", "{case}");
     }
 }
--- a/tests/node/client_disconnects.rs
+++ b/tests/node/client_disconnects.rs
@@ -3,6 +3,7 @@
 //! whose key or id is `mark`, and check that a server receives no further request of the disconnected
 //! client before it.
 
+use std::io::Write;
 use std::net::Shutdown;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -292,3 +293,37 @@
         }
     }
 }
+
+#[test]
+fn requests_before_megabytes_of_unread_input_are_not_forwarded_after_their_client_disconnects() {
+    // Guards against attempts that are sent while it is unknown whether their client has left: its close stands
+    // behind input that takes longer to read than an attempt waits.
+    for clients in [1, 8] {
+        let cache = cache_server(|parts| ServerAction::Answer(hit(&parts[1])));
+        let (discovery, _updates, _calls) = idle_discovery();
+        let node = Node::start(discovery, &list_of_one_cache(cache.address, failing_origin().address));
+        assert_eq!(node.connect_client().request(&get("warm", "warm")).unwrap(), "warm");
+        assert_eq!(cache.next_request().parts[1], "warm");
+        // The clients have left before the node reads anything of their input.
+        node.while_stopped(|| {
+            for number in 0..clients {
+                let mut client = node.connect_client();
+                let reads: Vec<u8> =
+                    (0..60_000).flat_map(|id| get("aa", &format!("{number}-{id}"))).collect();
+                client.stream.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
+                // Fails once the socket buffers are full.
+                let _ = client.stream.write_all(&reads);
+            }
+        });
+        // The markers are sent until the node has read all input, so that other reads would come before them.
+        let mut marker_client = node.connect_client();
+        let started_at = std::time::Instant::now();
+        while started_at.elapsed() < Duration::from_secs(2) {
+            marker_client.request(&get("mark", "m")).unwrap();
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let forwarded =
+            cache.events.try_iter().filter(|event| event.parts.get(1).is_some_and(|key| key == "aa"));
+        assert_eq!(forwarded.count(), 0, "reads of {clients} disconnected clients that were forwarded");
+    }
+}
