--- a/src/bin/pondproxy-node/cache_protocol.rs
+++ b/src/bin/pondproxy-node/cache_protocol.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use pondproxy::{CacheLookup, LoadReport, Status};
 
-use crate::client_sessions::Command;
+use crate::client_command::Command;
 use crate::resp::{self, Reply};
 use crate::upstream_pool::{MalformedReply, ServerReply};
 
--- a/src/bin/pondproxy-node/event_loop.rs
+++ b/src/bin/pondproxy-node/event_loop.rs
@@ -17,7 +17,8 @@
 use shutdown::Shutdown;
 use tokio::sync::{mpsc, watch};
 
-use crate::client_sessions::{ClientReply, ClientRequest, Command, Phase};
+use crate::client_command::Command;
+use crate::client_sessions::{ClientReply, ClientRequest, Phase};
 use crate::client_socket::ClientLiveness;
 use crate::config::NodeConfig;
 use crate::connection_slots::{ClientId, ConnectionSlots};
--- a/src/bin/pondproxy-node/main.rs
+++ b/src/bin/pondproxy-node/main.rs
@@ -2,6 +2,7 @@
 //! directs, and obtains the server list from discovery.
 
 mod cache_protocol;
+mod client_command;
 mod client_sessions;
 mod client_socket;
 mod command_buffer;
--- a/src/bin/pondproxy-node/origin_protocol.rs
+++ b/src/bin/pondproxy-node/origin_protocol.rs
@@ -4,7 +4,7 @@
 use pondproxy::Status;
 
 use crate::cache_protocol;
-use crate::client_sessions::Command;
+use crate::client_command::Command;
 use crate::http::{self, ChunkedDecoder, ResponseHead};
 use crate::upstream_pool::{MalformedReply, ServerReply};
 
