Tell a refusal from other answers by its type, not by the text of its reply

Cause: the session looked for `-BUSY` at the start of a reply to learn that a write never ran, although the event loop knows it. Change: the final answer is an enum with its encoding in one place (event_loop/answer.rs), and the message to the session says whether it is a refusal.

--- a/src/bin/pondproxy-node/client_sessions.rs
+++ b/src/bin/pondproxy-node/client_sessions.rs
@@ -74,8 +74,6 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Reply to a command that was refused and never forwarded.
 const BUSY_REPLY: &str = "-BUSY\r\n";
-/// Start of a reply to a request that was refused and never executed.
-const BUSY_REPLY_START: &[u8] = b"-BUSY";
 /// Maximum number of busy replies that are written at once.
 const MAX_BUSY_REPLIES_PER_WRITE: u64 = 512;
 
@@ -137,6 +135,8 @@
 pub struct ClientReply {
     pub reply_index: u64,
     pub bytes: Bytes,
+    /// Whether the request was refused: it was not executed, or executing it again is harmless.
+    pub refused: bool,
     pub reservation: Option<MemoryReservation>,
 }
 
@@ -243,13 +243,13 @@
     }
 
     /// Ends an open request with its reply.
-    fn set_ready(&mut self, bytes: Bytes, reservation: Option<MemoryReservation>) {
+    fn set_ready(&mut self, reply: ClientReply) {
         if let PendingReply::Open { id, .. } = self
-            && bytes.starts_with(BUSY_REPLY_START)
+            && reply.refused
         {
             id.set_never_executed();
         }
-        *self = PendingReply::Ready(bytes, reservation);
+        *self = PendingReply::Ready(reply.bytes, reply.reservation);
     }
 }
 
@@ -417,12 +417,12 @@
                 reply = self.reply_receiver.recv() => {
                     self.longest_reply_bytes =
                         reply.as_ref().map_or(0, |reply| reply.bytes.len()).max(self.longest_reply_bytes);
-                    if let Some(ClientReply { reply_index, bytes, reservation }) = reply
+                    if let Some(reply) = reply
                         && let Some(pending_reply) = self
                             .pending_replies
-                            .get_mut(reply_index.saturating_sub(self.first_reply_index) as usize)
+                            .get_mut(reply.reply_index.saturating_sub(self.first_reply_index) as usize)
                     {
-                        pending_reply.set_ready(bytes, reservation);
+                        pending_reply.set_ready(reply);
                     }
                 }
                 () = tokio::task::yield_now(), if unread && !discards_input && !lacks_memory => {
--- a/src/bin/pondproxy-node/event_loop.rs
+++ b/src/bin/pondproxy-node/event_loop.rs
@@ -2,6 +2,7 @@
 //! module's actions into I/O. The event loop makes no decisions of its own, except where a limit on sockets
 //! or memory leaves no choice; comments that begin with "Limit on" mark these places.
 
+mod answer;
 mod attempts;
 mod server_lists;
 mod shutdown;
@@ -10,7 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
+use answer::Answer;
 use pondproxy::settings::Deployment;
 use pondproxy::timer_queue::TimerQueue;
 use pondproxy::{Action, Event, ListKind, LoadReport, Micros, Policy, Request, RequestId, ServerId, Status};
@@ -73,8 +74,6 @@
     }
 }
 
-/// Reply to a request that failed and may have been executed.
-const FAILED_REPLY: &[u8] = b"-ERR failed\r\n";
 const IDLE_SWEEP_INTERVAL_US: Micros = 1_000_000;
 /// Lateness of a timer from which on the event loop logs that it was held up.
 const LATE_TIMER_LOG_THRESHOLD_US: Micros = 250_000;
@@ -324,13 +323,9 @@
         match action {
             Action::Send { request, server, timeout } => self.start_attempt(request, server, timeout),
             Action::Refuse { request, retry_after } => {
-                let answer = match retry_after {
-                    0 => Bytes::from_static(b"-BUSY\r\n"),
-                    delay_us => format!("-BUSY {}\r\n", delay_us.div_ceil(1_000)).into(),
-                };
-                self.send_answer(request, answer);
+                self.send_answer(request, Answer::Refused { retry_after })
             }
-            Action::Fail(request) => self.send_answer(request, Bytes::from_static(FAILED_REPLY)),
+            Action::Fail(request) => self.send_answer(request, Answer::Failed),
             Action::Cancel { request, attempt } => {
                 self.abandon_attempt((request, attempt), Status::Cancelled)
             }
@@ -392,21 +387,23 @@
     }
 
     /// Sends the final answer of a request; does nothing if it already has one.
-    fn send_answer(&mut self, id: RequestId, answer: Bytes) {
+    fn send_answer(&mut self, id: RequestId, answer: Answer) {
         let Some(open_request) = self.open_requests.get(&id).filter(|open_request| !open_request.finished)
         else {
             return;
         };
         // Limit on memory: an answer that exceeds the free budget is replaced by an error.
-        let (bytes, reservation) = match self.memory.try_reserve(answer.len()) {
-            Some(reservation) => (answer, Some(reservation)),
-            None => (Bytes::from_static(FAILED_REPLY), None),
+        let encoded = answer.encode();
+        let (answer, bytes, reservation) = match self.memory.try_reserve(encoded.len()) {
+            Some(reservation) => (answer, encoded, Some(reservation)),
+            None => (Answer::Failed, Answer::Failed.encode(), None),
         };
         // The channel has room for every answer that its connection awaits. Sending fails only if the
         // connection has ended, and then nobody awaits the answer.
         let _ = open_request.reply_sender.try_send(ClientReply {
             reply_index: open_request.reply_index,
             bytes,
+            refused: matches!(answer, Answer::Refused { .. }),
             reservation,
         });
         self.finish_request(id);
@@ -416,7 +413,7 @@
     /// nothing if it already has its final answer.
     fn fail_request(&mut self, id: RequestId) {
         if self.open_requests.get(&id).is_some_and(|open_request| !open_request.finished) {
-            self.send_answer(id, Bytes::from_static(FAILED_REPLY));
+            self.send_answer(id, Answer::Failed);
             self.dispatch_event(Event::ClientGone(id));
         }
     }
--- a/src/bin/pondproxy-node/event_loop/attempts.rs
+++ b/src/bin/pondproxy-node/event_loop/attempts.rs
@@ -1,13 +1,13 @@
 //! The part of the event loop that handles attempts: from the decision module's wish to send a request to a
 //! server, by way of a connection, to the outcome that the module gets.
 
-use bytes::BytesMut;
 use pondproxy::{CacheLookup, Event, LoadReport, Micros, Outcome, RequestId, ServerId, Status};
 
+use super::answer::Answer;
 use super::{Attempt, Node, NodeTimer};
 use crate::connection_slots::ClientId;
 use crate::upstream_pool::{AttemptId, ConnEvent, ConnId, MalformedReply, Protocol, ServerReply};
-use crate::{cache_protocol, log, origin_protocol, resp};
+use crate::{cache_protocol, log, origin_protocol};
 
 impl Node {
     pub(super) fn start_attempt(&mut self, id: RequestId, server: ServerId, timeout: Micros) {
@@ -222,10 +222,8 @@
         let Some(open_request) = self.open_requests.get_mut(&attempt_id.0) else { return };
         open_request.attempts_in_flight -= 1;
         let finished = open_request.finished || reply.status == Status::Success;
-        if let Some(value) = &reply.value {
-            let mut answer = BytesMut::with_capacity(value.len() + 16);
-            resp::put_bulk(&mut answer, value);
-            self.send_answer(attempt_id.0, answer.freeze());
+        if let Some(value) = reply.value {
+            self.send_answer(attempt_id.0, Answer::Served(value));
         }
         if finished {
             self.finish_request(attempt_id.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! State of one balancer: plain data types, counters and smoothed rates, the timer queue, the hash and the
+//! State of one balancer: plain data types, counters and smoothed rates, the task queue, the hash and the
 //! random numbers. Contains no decisions and no I/O.
 
 use std::collections::{BTreeMap, VecDeque};
