--- a/tests/node/connection_pressure.rs
+++ b/tests/node/connection_pressure.rs
@@ -10,7 +10,7 @@
 
 use socket2::{Domain, Socket, Type};
 
-use crate::drain::{Step, scripted_discovery};
+use crate::scripted_discovery::{Step, scripted_discovery};
 use crate::stand_ins::*;
 use crate::{failing_origin, idle_discovery, list_of_one_cache};
 
@@ -91,7 +91,7 @@
 }
 
 /// Reserves an address for discovery at which connections are refused until [`start_discovery_on`].
-fn reserve_discovery_address() -> (Socket, SocketAddr) {
+pub fn reserve_discovery_address() -> (Socket, SocketAddr) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
     let address = socket.local_addr().unwrap().as_socket().unwrap();
--- a/tests/node/drain.rs
+++ b/tests/node/drain.rs
@@ -2,84 +2,17 @@
 //! from a discovery that moves: the node must apply them in time, so that no request goes to a draining
 //! server after its grace time.
 
-use std::io::{BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
-use socket2::SockRef;
-
+use crate::scripted_discovery::*;
 use crate::stand_ins::*;
 use crate::{failing_origin, list_of_two_caches, start_node_connecting_to};
 
-/// A step of what a scripted discovery does on a connection, which stays open after the last step.
-pub enum Step {
-    Sleep(Duration),
-    /// Sends empty lines until a message arrives on the channel.
-    SendEmptyLinesUntil(Receiver<()>),
-    Send(Vec<u8>),
-    /// Sends a byte of TCP urgent data, which is not part of an answer. A read ends before the urgent byte,
-    /// though more data follows.
-    SendUrgentByte,
-    /// Waits for a message on the channel, and sends nothing meanwhile.
-    WaitFor(Receiver<()>),
-    /// Reports that the script has reached this step.
-    Notify(Sender<()>),
-    /// Closes the connection.
-    Close,
-}
-
-/// What a scripted discovery reports when a call's connection has ended.
-pub const CALL_ENDED: &str = "ended";
-
-/// Starts a discovery service that runs one script for each call. The receiver gets the request line of each
-/// call, and [`CALL_ENDED`] when its connection has ended after the script.
-pub fn scripted_discovery(scripts: Vec<Vec<Step>>) -> (SocketAddr, Receiver<String>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let (call_sender, calls) = channel();
-    std::thread::spawn(move || {
-        for (script, stream) in scripts.into_iter().zip(listener.incoming().flatten()) {
-            let call_sender = call_sender.clone();
-            std::thread::spawn(move || run_script(script, stream, &call_sender));
-        }
-        // Further calls are accepted and never answered.
-        listener.incoming().flatten().for_each(std::mem::forget);
-    });
-    (address, calls)
-}
-
-fn run_script(script: Vec<Step>, mut stream: TcpStream, call_sender: &Sender<String>) {
-    let mut reader = BufReader::new(stream.try_clone().unwrap());
-    let request = read_http_request(&mut reader).unwrap_or_default();
-    let _ = call_sender.send(request.first().cloned().unwrap_or_default());
-    for step in script {
-        match step {
-            Step::Sleep(time) => std::thread::sleep(time),
-            Step::SendEmptyLinesUntil(signal) => {
-                while let Err(RecvTimeoutError::Timeout) = signal.recv_timeout(Duration::from_millis(500)) {
-                    let _ = stream.write_all(&chunk("\n"));
-                }
-            }
-            Step::Send(bytes) => drop(stream.write_all(&bytes)),
-            Step::SendUrgentByte => drop(SockRef::from(&stream).send_out_of_band(b"!")),
-            Step::WaitFor(signal) => drop(signal.recv_timeout(LONG_TIMEOUT)),
-            Step::Notify(sender) => drop(sender.send(())),
-            Step::Close => drop(stream.shutdown(Shutdown::Both)),
-        }
-    }
-    // Waits until the node closes the connection.
-    while read_http_request(&mut reader).is_some() {}
-    let _ = call_sender.send(CALL_ENDED.into());
-}
-
-fn refuse_call() -> Step {
-    Step::Send(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_vec())
-}
-
 /// Settings of one of six balancers, with a grace time of 1 s in which draining servers may still get
 /// requests.
-fn settings_for_six_balancers() -> String {
+pub fn settings_for_six_balancers() -> String {
     let settings = default_settings().replace(r#""balancers":1"#, r#""balancers":6"#);
     settings.replace(
         r#""askWithinUs":1000000,"drainGraceUs":500000"#,
@@ -88,7 +21,7 @@
 }
 
 /// Two cache servers and an origin behind a node.
-struct Upstreams {
+pub struct Upstreams {
     first: StandIn,
     second: StandIn,
     origin: StandIn,
@@ -96,15 +29,17 @@
 
 impl Upstreams {
     fn new() -> Upstreams {
-        let (first, second) = (
-            cache_server(|_| ServerAction::Answer(hit("first"))),
-            cache_server(|_| ServerAction::Answer(hit("second"))),
-        );
+        Upstreams::with_first(cache_server(|_| ServerAction::Answer(hit("first"))))
+    }
+
+    /// Starts the other servers beside a first one that the test provides.
+    pub fn with_first(first: StandIn) -> Upstreams {
+        let second = cache_server(|_| ServerAction::Answer(hit("second")));
         Upstreams { first, second, origin: failing_origin() }
     }
 
     /// The list that the node starts with.
-    fn known_list(&self) -> String {
+    pub fn known_list(&self) -> String {
         list_of_two_caches([self.first.address, self.second.address], self.origin.address)
     }
 
@@ -133,7 +68,7 @@
     }
 
     /// The whole list in which the first server drains.
-    fn list_with_drain(&self) -> String {
+    pub fn list_with_drain(&self) -> String {
         let entries = [
             server_entry("s-1", self.first.address, "std", "leaving"),
             server_entry("s-2", self.second.address, "std", "active"),
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -13,6 +13,7 @@
 mod log_lines;
 mod memory_pressure;
 mod repeated_ids;
+mod scripted_discovery;
 mod shutdown;
 mod stand_ins;
 mod system_calls;
