Spare draining servers after a restart until pushed lists are confirmed

Cause: the cached list came into force like one that discovery had sent; neither readiness nor the decision module knew whether any call had succeeded. Ruled out: late repeats (pauses of 0.1 to 0.18 s beside a failed call of 1 s) and late lists (the last command came before the answer).

Change: the module is told when the first watch opens, connects, fails or is answered. Until it is answered the cached list serves for the drain grace time less 0.25 s, then all is refused at once; the node is ready with the first answer, at once where discovery refuses connections, and after 9 s at the latest. What discovery has at its return counts from the connection on. It works because every send passes send_attempt and write_attempt, which both ask the module.

--- a/src/bin/pondproxy-node/client_sessions.rs
+++ b/src/bin/pondproxy-node/client_sessions.rs
@@ -97,7 +97,7 @@
 /// Phase of the life of a node.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
-    /// No server list with a server that accepts requests has arrived yet.
+    /// No server list that may be used and has a server that accepts requests has arrived yet.
     Starting,
     /// The node accepts requests.
     Ready,
--- a/src/bin/pondproxy-node/discovery.rs
+++ b/src/bin/pondproxy-node/discovery.rs
@@ -46,8 +46,12 @@
     List(ListUpdate),
     /// The complete entries of a list that was truncated.
     PartialList(ListUpdate),
+    /// Discovery accepted the connection of the call.
+    Connected,
     /// The first list, or the empty line that stands for no change, has been received.
     Synchronized,
+    /// A watch on pushed lists failed or ended, and is reopened after a pause.
+    Reopening { failure: DiscoveryFailure, since_last_contact: Duration },
     /// The call failed or the watch ended; `since_last_contact` is the time for which changes may have been
     /// missed.
     Failed { failure: DiscoveryFailure, since_last_contact: Duration },
--- a/src/bin/pondproxy-node/discovery/call.rs
+++ b/src/bin/pondproxy-node/discovery/call.rs
@@ -1,6 +1,7 @@
 //! One call to discovery: sends the request and reports the lists that it receives until it ends. Knows
 //! nothing of other calls.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -65,6 +66,9 @@
     /// or an empty line.
     fn failure(&self, synchronized: bool) -> DiscoveryFailure {
         match self {
+            CallError::Unreachable(e) if e.kind() == ErrorKind::ConnectionRefused => {
+                DiscoveryFailure::Refused
+            }
             CallError::Unreachable(_) => DiscoveryFailure::Unreachable,
             CallError::TimedOut => DiscoveryFailure::TimedOut,
             CallError::Truncated => DiscoveryFailure::Interrupted,
@@ -117,15 +121,17 @@
         self.report_end(result).await;
     }
 
-    /// Like [`Self::watch`], but does not report the end of the watch, and logs a failure only if a list or
-    /// an empty line was received before it.
+    /// Like [`Self::watch`], but reports that the watch will be reopened, and logs a failure only if a list
+    /// or an empty line was received before it.
     pub async fn watch_quietly(mut self, index: &AtomicU64) {
         let result = self.receive_lists(&watch_path(index)).await;
-        if let Err(e) = result
+        if let Err(e) = &result
             && self.synchronized
         {
             log(&format!("discovery: {e}"));
         }
+        let (failure, since_last_contact) = self.end(result);
+        self.report(CallEvent::Reopening { failure, since_last_contact }).await;
     }
 
     /// Requests the complete list once; reports the end of the call only if it failed.
@@ -147,8 +153,15 @@
             Ok(()) => log("discovery: watch ended"),
             Err(e) => log(&format!("discovery: {e}")),
         }
+        let (failure, since_last_contact) = self.end(result);
+        self.report(CallEvent::Failed { failure, since_last_contact }).await;
+    }
+
+    /// Returns how a call with this result failed, and the time for which changes may have been missed. The
+    /// end of a watch is a failure even if there was no error.
+    fn end(&self, result: Result<(), CallError>) -> (DiscoveryFailure, Duration) {
         let failure = result.err().map_or(DiscoveryFailure::Failed, |e| e.failure(self.synchronized));
-        self.report(CallEvent::Failed { failure, since_last_contact: self.last_contact_at.elapsed() }).await;
+        (failure, self.last_contact_at.elapsed())
     }
 
     /// Makes the call and reports each list of the response until the response ends.
@@ -175,6 +188,7 @@
         log(&format!("discovery: calling {address}{path}"));
         let connect = async { timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await? };
         let stream = connect.await.map_err(CallError::Unreachable)?;
+        self.report(CallEvent::Connected).await;
         let _ = stream.set_nodelay(true);
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
         stream_io::write_all(&stream, request.as_bytes()).await?;
--- a/src/bin/pondproxy-node/event_loop.rs
+++ b/src/bin/pondproxy-node/event_loop.rs
@@ -192,12 +192,13 @@
             self.apply_list(cached_list, Some(ListKind::Cached));
         }
         if !self.deployment.settings.pull_discovery {
+            self.dispatch_event(Event::FirstWatchOpening);
             self.discovery.watch_pushed_lists();
         }
         self.timers.schedule(self.clock.now() + IDLE_SWEEP_INTERVAL_US, NodeTimer::IdleSweep);
         let mut ready = false;
         loop {
-            if !ready && self.servers.any_ready() {
+            if !ready && self.servers.any_ready() && self.policy.is_list_settled() {
                 ready = true;
                 self.phase.send_if_modified(|current| {
                     *current == Phase::Starting && {
--- a/src/bin/pondproxy-node/event_loop/attempts.rs
+++ b/src/bin/pondproxy-node/event_loop/attempts.rs
@@ -53,9 +53,11 @@
         let now = self.clock.now();
         let Some(attempt) = self.attempts.get(&attempt_id) else { return };
         // The attempt may have waited for its connection since the decision to send it. Without this check,
-        // it could be sent to a server that has begun to drain or was removed from the list, or for a request
-        // that has ended meanwhile: answered, past its deadline, or with a disconnected client.
-        let server = self.servers.ready(attempt.server);
+        // it could be sent to a server that has begun to drain or was removed from the list, by a list that
+        // may no longer be used, or for a request that has ended meanwhile: answered, past its deadline, or
+        // with a disconnected client.
+        let list_is_usable = self.policy.list_is_usable(now);
+        let server = self.servers.ready(attempt.server).filter(|_| list_is_usable);
         let open_request = self
             .open_requests
             .get(&attempt_id.0)
--- a/src/bin/pondproxy-node/event_loop/server_lists.rs
+++ b/src/bin/pondproxy-node/event_loop/server_lists.rs
@@ -2,7 +2,9 @@
 //! list that a current call receives comes into force; of a truncated list, or of one that a superseded call
 //! receives, only the withdrawals are applied.
 
-use pondproxy::{Event, ListKind, Micros};
+use std::time::Duration;
+
+use pondproxy::{DiscoveryFailure, Event, ListKind, Micros};
 
 use super::Node;
 use crate::discovery::{CallEvent, CallId, CallStatus, ListUpdate};
@@ -15,16 +17,20 @@
         let call_status = self.discovery.call_status(call_id);
         match (call_status, event) {
             (CallStatus::Current, CallEvent::List(update)) => self.apply_list(update, None),
-            (CallStatus::Current, CallEvent::Synchronized) => self.discovery.close_superseded(),
+            (CallStatus::Current, CallEvent::Connected) => self.dispatch_event(Event::DiscoveryConnected),
+            (CallStatus::Current, CallEvent::Synchronized) => {
+                self.discovery.close_superseded();
+                self.dispatch_event(Event::DiscoverySynchronized);
+            }
+            (CallStatus::Current, CallEvent::Reopening { failure, since_last_contact }) => {
+                self.dispatch_discovery_failure(failure, since_last_contact);
+            }
             (CallStatus::Current, CallEvent::Failed { failure, since_last_contact }) => {
                 self.discovery.call_ended(call_id);
                 // After a move, the discovery at the former address ends its watches. That is not a failure,
                 // and a call to the new address follows soon.
                 if !self.discovery.move_pending() {
-                    self.dispatch_event(Event::DiscoveryFailed {
-                        failure,
-                        since_last_contact: since_last_contact.as_micros() as Micros,
-                    });
+                    self.dispatch_discovery_failure(failure, since_last_contact);
                 }
             }
             (CallStatus::Superseded, CallEvent::List(update)) => self.apply_withdrawn_servers(&update),
@@ -34,10 +40,20 @@
             (CallStatus::Superseded, CallEvent::Failed { .. }) => self.discovery.call_ended(call_id),
             // Only a current call closes superseded ones. Events of an ended call no longer apply, for
             // example because the call that replaces it has been answered and its lists are in force.
-            (CallStatus::Superseded, CallEvent::Synchronized) | (CallStatus::Ended, _) => {}
+            (
+                CallStatus::Superseded,
+                CallEvent::Connected | CallEvent::Synchronized | CallEvent::Reopening { .. },
+            )
+            | (CallStatus::Ended, _) => {}
         }
     }
 
+    /// Tells the decision module that a call failed or that a watch ended.
+    fn dispatch_discovery_failure(&mut self, failure: DiscoveryFailure, since_last_contact: Duration) {
+        let since_last_contact = since_last_contact.as_micros() as Micros;
+        self.dispatch_event(Event::DiscoveryFailed { failure, since_last_contact });
+    }
+
     /// Applies only the withdrawals of a list that was truncated or that a superseded call received. Such a
     /// list does not come into force, but the node counts as notified of the servers that it lists as
     /// draining or removed: sending to them must stop within the drain grace time.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -257,7 +257,10 @@
 /// How a call to discovery, or the watch for its changes, failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DiscoveryFailure {
-    /// The connection was refused or not established; the call cost discovery nothing.
+    /// The connection was refused: nothing listens at the address, so discovery is down. The call cost it
+    /// nothing.
+    Refused,
+    /// The connection was not established for another reason; the call cost discovery nothing.
     Unreachable,
     /// Discovery accepted the call and rejected or aborted it, which costs it as much as a call that
     /// succeeds.
@@ -269,10 +272,15 @@
 }
 
 impl DiscoveryFailure {
+    /// Whether discovery accepted the call, which then cost it as much as a call that succeeds.
+    pub fn was_accepted(self) -> bool {
+        !matches!(self, DiscoveryFailure::Refused | DiscoveryFailure::Unreachable)
+    }
+
     /// Describes the failure for the log.
     pub fn description(self) -> &'static str {
         match self {
-            DiscoveryFailure::Unreachable => "can't be reached",
+            DiscoveryFailure::Refused | DiscoveryFailure::Unreachable => "can't be reached",
             DiscoveryFailure::Failed => "turned a call away, or the watch broke",
             DiscoveryFailure::Interrupted => {
                 "turned a call away, or the watch broke, perhaps with changes on their way"
@@ -396,6 +404,13 @@
     },
     /// The address of discovery changed; the next call goes to the new address.
     DiscoveryMoved,
+    /// This process has started with the cached list, lists are pushed, and the node opens its first watch.
+    /// The balancer counts as notified, from now on, of all changes that discovery has.
+    FirstWatchOpening,
+    /// Discovery accepted the connection of a call.
+    DiscoveryConnected,
+    /// Discovery answered a watch: all changes that it had are in force.
+    DiscoverySynchronized,
     /// A client's request arrived and must get exactly one final answer.
     Request(Request),
     /// An attempt ended.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,6 +16,7 @@
 
 mod admission;
 mod discovery_refresh;
+mod list_confirmation;
 mod slow_start;
 
 use crate::interface::*;
@@ -153,6 +154,9 @@
                 }
             }
             Event::DiscoveryMoved => self.handle_discovery_move(),
+            Event::FirstWatchOpening => self.await_list_confirmation(false),
+            Event::DiscoveryConnected => self.note_discovery_connected(),
+            Event::DiscoverySynchronized => self.confirm_list(),
             Event::Request(request) => {
                 self.compact_tasks();
                 self.handle_request(request, actions)
@@ -190,6 +194,7 @@
                 }
                 TimerTask::DeferredRequest(..) | TimerTask::DiscoveryCall => {}
                 TimerTask::AdmissionReview => self.review_admission_level(actions),
+                TimerTask::ListConfirmationReview => self.review_list_confirmation(actions),
             }
         }
     }
@@ -205,7 +210,7 @@
             TimerTask::SlowAttempt(id, attempt_number) | TimerTask::MissingAnswer(id, attempt_number) => {
                 attempts.contains_key(&(*id, *attempt_number))
             }
-            TimerTask::DiscoveryCall | TimerTask::AdmissionReview => true,
+            TimerTask::DiscoveryCall | TimerTask::AdmissionReview | TimerTask::ListConfirmationReview => true,
         });
     }
 
@@ -255,6 +260,7 @@
         let Some(request_state) = self.requests.get(&request_id) else { return };
         if self.now >= self.useful_until(request_state)
             || u32::from(request_state.attempts_sent) >= self.settings.max_attempts
+            || !self.list_is_usable(self.now)
         {
             return self.shed_or_fail(request_id, actions);
         }
@@ -532,6 +538,7 @@
         let allowed = self.now < request_state.deadline
             && u32::from(request_state.attempts_sent) < self.settings.max_attempts
             && server.entry.state == ServerState::Ready
+            && self.list_is_usable(self.now)
             && (request_state.in_flight == 0 || self.settings.may_duplicate)
             && self.may_retry_at(request_state, server_id);
         if !allowed {
@@ -1126,6 +1133,7 @@
     fn apply_server_list(&mut self, kind: ListKind, entries: Vec<ServerEntry>) {
         if matches!(kind, ListKind::Full | ListKind::Delta) {
             self.record_discovery_success();
+            self.confirm_list();
         }
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             self.servers.values_mut().for_each(|server| server.entry.state = ServerState::Removed);
--- a/src/policy/discovery_refresh.rs
+++ b/src/policy/discovery_refresh.rs
@@ -113,13 +113,18 @@
     }
 
     /// Schedules the next call after a failed call or an ended watch. The call is in time for all changes
-    /// that discovery may have had since this balancer last had contact with it or called it.
+    /// that discovery may have had since this balancer last had contact with it or called it. Where lists are
+    /// pushed, the node reopens its watch by itself.
     pub(super) fn handle_discovery_failure(
         &mut self,
         failure: DiscoveryFailure,
         since_last_contact: Micros,
         actions: &mut Vec<Action>,
     ) {
+        self.note_failed_discovery_call(failure, actions);
+        if !self.settings.pull_discovery {
+            return;
+        }
         self.require_discovery_call_by((self.now + CALL_DUE_US).saturating_sub(since_last_contact));
         let (earliest, latest) = self.next_call_window(failure, since_last_contact as f64);
         let latest_allowed = self.latest_next_call(failure, since_last_contact as f64);
@@ -128,8 +133,7 @@
         let delay =
             (earliest + (latest - earliest) * self.rng.next_unit()) * self.discovery_overload_factor(failure);
         let delay = delay.min(self.time_until_call_due()) as Micros;
-        self.discovery_failures =
-            if failure == DiscoveryFailure::Unreachable { 1 } else { self.discovery_failures + 1 };
+        self.discovery_failures = if failure.was_accepted() { self.discovery_failures + 1 } else { 1 };
         self.schedule_discovery_call(delay);
         actions.push(Action::Log(format!(
             "discovery {}: asking again in {} ms",
@@ -147,7 +151,6 @@
             self.discovery_call_spread(),
             self.settings.notified_after as f64 * INITIAL_BACKOFF_FRACTION_OF_NOTIFIED_AFTER,
         );
-        let accepted = failure != DiscoveryFailure::Unreachable;
         let grace = self.settings.drain_grace_time as f64;
         match failure {
             // The missed changes already count as notified, so the call and its wait in discovery's queue
@@ -163,7 +166,11 @@
                 (initial_backoff / 2.0, initial_backoff.max(spread) + initial_backoff / 2.0)
             }
             _ => {
-                let doublings = if accepted { self.discovery_failures.min(MAX_BACKOFF_DOUBLINGS) } else { 0 };
+                let doublings = if failure.was_accepted() {
+                    self.discovery_failures.min(MAX_BACKOFF_DOUBLINGS)
+                } else {
+                    0
+                };
                 let period = (initial_backoff * f64::from(1 << doublings)).max(spread - since_last_contact);
                 (period * MIN_INTERVAL_FRACTION_OF_PERIOD, period)
             }
@@ -209,7 +216,7 @@
     /// Returns the factor by which the backoff grows because the fleet overloads discovery.
     fn discovery_overload_factor(&self, failure: DiscoveryFailure) -> f64 {
         let overloaded_by_fleet =
-            failure != DiscoveryFailure::Unreachable && self.discovery_call_spread() >= CALL_DUE_US as f64;
+            failure.was_accepted() && self.discovery_call_spread() >= CALL_DUE_US as f64;
         let steps =
             if overloaded_by_fleet { self.discovery_failures / FAILURES_PER_OVERLOAD_STEP } else { 0 };
         OVERLOAD_STEP_FACTOR.powi(steps.min(MAX_OVERLOAD_STEPS) as i32)
--- a/src/state.rs
+++ b/src/state.rs
@@ -61,10 +61,30 @@
     pub(crate) discovery_moved_at: Option<Micros>,
     /// Time by which discovery must be called, because missed changes count as notified soon after.
     pub(crate) discovery_call_due: Option<Micros>,
+    /// Whether the server list in force may be used as it is.
+    pub(crate) list_confirmation: ListConfirmation,
     /// Time until which shedding over quota is not logged again.
     pub(crate) shedding_log_muted_until: Micros,
 }
 
+/// Whether the server list in force holds the changes that discovery had when this process started. Differs
+/// from `Confirmed` only where lists are pushed and the list is still the cached one.
+#[derive(Clone, Copy, PartialEq, Default)]
+pub enum ListConfirmation {
+    /// It does, or there is no prospect of a newer list.
+    #[default]
+    Confirmed,
+    /// Discovery has not answered a watch yet.
+    Awaited {
+        /// Time since which the balancer counts as notified of what discovery has.
+        since: Micros,
+        /// Whether discovery has accepted a call since then.
+        connected: bool,
+    },
+    /// Discovery has refused each connection: it is down, and has nothing to report until its return.
+    DiscoveryDown,
+}
+
 /// Purpose of an attempt: a read at a cache server, the fetch of a missing value, or a write.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Purpose {
@@ -202,6 +222,7 @@
     MissingAnswer(RequestId, u16),
     DiscoveryCall,
     AdmissionReview,
+    ListConfirmationReview,
 }
 
 /// The gate in front of the origin. Limits the calls in flight and the calls per window; index 0 counts all
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod drain;
 mod endless_replies;
+mod first_list;
 mod flooding_client;
 mod log_lines;
 mod memory_pressure;
--- a/tests/node/scripted_discovery.rs
+++ b/tests/node/scripted_discovery.rs
@@ -24,6 +24,8 @@
     Notify(Sender<()>),
     /// Closes the connection.
     Close,
+    /// Resets the connection and ends the script.
+    Reset,
 }
 
 /// What a scripted discovery reports when a call's connection has ended.
@@ -68,6 +70,8 @@
             Step::WaitFor(signal) => drop(signal.recv_timeout(LONG_TIMEOUT)),
             Step::Notify(sender) => drop(sender.send(())),
             Step::Close => drop(stream.shutdown(Shutdown::Both)),
+            // A socket that does not linger is reset when it is closed.
+            Step::Reset => return drop(SockRef::from(&stream).set_linger(Some(Duration::ZERO))),
         }
     }
     // Waits until the node closes the connection.
