Call discovery again in time after a restart whose first calls wait and fail

Cause: the time by which a call is due was counted from the first call instead of the start, and was forgotten once a call lasted beyond it: the module called at 0.02, 1.9, 4.2 and 6.9 s. Ruled out: a list that is applied late (the call itself came late).

Change: the time counts from the start, and a call that was due and failed is repeated within a quarter of the drain grace time until sends must have stopped. Only fleets that discovery can serve twice in time are concerned, as before (up to nine nodes).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -143,14 +143,7 @@
             Event::ServerList { kind, servers } => {
                 self.apply_server_list(kind, servers);
                 if kind == ListKind::Cached {
-                    // Without a ready server the balancer cannot serve any request until it has a new list,
-                    // so the call to discovery is not delayed.
-                    let delay = self.discovery_call_spread() * self.rng.next_unit();
-                    self.schedule_discovery_call(if self.ready_servers(false).next().is_some() {
-                        delay as Micros
-                    } else {
-                        0
-                    });
+                    self.schedule_first_discovery_call();
                 }
             }
             Event::DiscoveryMoved => self.handle_discovery_move(),
--- a/src/policy/discovery_refresh.rs
+++ b/src/policy/discovery_refresh.rs
@@ -18,6 +18,8 @@
 /// failed. The remaining time is enough for the call to connect and to be answered; with many callers, the
 /// queue takes the same time for all of them.
 const CALL_DUE_US: Micros = 5_500_000;
+/// Time from which missed changes count as notified, after the time by which a call is due.
+const NOTIFIED_AFTER_CALL_DUE_US: Micros = 500_000;
 /// Number of calls that must fit into [`CALL_DUE_US`], as far as discovery can serve the fleet that often,
 /// because the first call may fail. Discovery serves one call of every balancer within the spread at best,
 /// and may need twice as long.
@@ -34,8 +36,9 @@
 const TIMEOUTS_BEFORE_BACKOFF: u32 = 2;
 /// Number of consecutive failed calls after which a further interruption leads to a backoff.
 const INTERRUPTIONS_BEFORE_BACKOFF: u32 = 2;
-/// After an interrupted watch, discovery is called again within this fraction of the drain grace time.
-const INTERRUPTED_SPREAD_FRACTION_OF_DRAIN_GRACE: f64 = 1.0 / 4.0;
+/// Discovery is called again within this fraction of the drain grace time if missed changes count as notified
+/// already: after an interrupted watch, and after a call that was due and failed.
+const URGENT_CALL_FRACTION_OF_DRAIN_GRACE: f64 = 1.0 / 4.0;
 /// First backoff after a failed call, and every backoff after a call that discovery did not accept, as a
 /// fraction of the time after which a balancer counts as notified of a change.
 const INITIAL_BACKOFF_FRACTION_OF_NOTIFIED_AFTER: f64 = 1.0 / 16.0;
@@ -90,6 +93,16 @@
         self.schedule_discovery_call(settled_delay.min(latest_delay - spread).max(0.0) as Micros);
     }
 
+    /// Schedules the first call of this process. Changes that were made before its start count as notified
+    /// like those that it misses from now on, however many calls fail. Without a ready server the balancer
+    /// cannot serve any request until it has a new list, so the call is not delayed.
+    pub(super) fn schedule_first_discovery_call(&mut self) {
+        self.require_discovery_call_by(self.now + CALL_DUE_US);
+        let delay = self.discovery_call_spread() * self.rng.next_unit();
+        let has_ready_server = self.ready_servers(false).next().is_some();
+        self.schedule_discovery_call(if has_ready_server { delay as Micros } else { 0 });
+    }
+
     /// Records that a list arrived: everything that discovery had to report is in force.
     pub(super) fn record_discovery_success(&mut self) {
         self.discovery_failures = 0;
@@ -159,7 +172,7 @@
                 if self.discovery_failures < INTERRUPTIONS_BEFORE_BACKOFF
                     && self.discovery_can_serve_retries() =>
             {
-                (0.0, spread.min(grace * INTERRUPTED_SPREAD_FRACTION_OF_DRAIN_GRACE))
+                (0.0, spread.min(grace * URGENT_CALL_FRACTION_OF_DRAIN_GRACE))
             }
             DiscoveryFailure::TimedOut if self.discovery_failures < TIMEOUTS_BEFORE_BACKOFF => (0.0, spread),
             _ if self.discovery_failures == 0 => {
@@ -198,14 +211,22 @@
 
     /// Returns the time until a call must be made because missed changes are about to count as notified;
     /// infinite if there is no such time. All watches of the fleet may have broken at once, so these calls
-    /// are spread too.
+    /// are spread too. If the call that was due has failed, or an earlier one has lasted beyond that time,
+    /// discovery is called again soon, until it is too late to stop sends to draining servers in time.
     fn time_until_call_due(&mut self) -> f64 {
         let Some(due) = self.discovery_call_due.filter(|_| self.discovery_can_serve_retries()) else {
             return f64::INFINITY;
         };
-        let spread_offset = self.discovery_call_spread() * self.rng.next_unit();
-        let time_left = due.saturating_sub(self.now) as f64 - spread_offset;
-        if time_left > 0.0 { time_left } else { f64::INFINITY }
+        let jitter = self.rng.next_unit();
+        let time_left = due.saturating_sub(self.now) as f64 - self.discovery_call_spread() * jitter;
+        if time_left > 0.0 {
+            return time_left;
+        }
+        let grace = self.settings.drain_grace_time;
+        if self.now < due + NOTIFIED_AFTER_CALL_DUE_US + grace {
+            return grace as f64 * URGENT_CALL_FRACTION_OF_DRAIN_GRACE * (1.0 + jitter) / 2.0;
+        }
+        f64::INFINITY
     }
 
     /// Whether discovery can serve all balancers a second time in time after their calls failed once.
--- a/tests/discovery_calls.rs
+++ b/tests/discovery_calls.rs
@@ -193,16 +193,40 @@
     advance_to_next_call(&mut node);
     node.server_list(ListKind::Full, vec![server(1), origin()]);
     node.advance(20 * SECOND);
-    let started_at = node.now;
     node.actions.clear();
     node.deliver(event);
+    rejected_calls(&mut node, 20 * MS, 10 * SECOND)
+}
+
+/// Guards against a restarted balancer that is not in time for a drain from before its start. Its calls were
+/// due by a time counted from its first call, and after a call that lasted beyond that time the next one came
+/// as late as after any other failure.
+#[test]
+fn a_restarted_balancer_of_a_small_fleet_calls_before_sends_to_draining_servers_must_end() {
+    let (notified_after, grace) = (6 * SECOND, settings().drain_grace_time);
+    for (balancer_count, balancer_index) in [(1, 0), (3, 1), (6, 0), (6, 3), (9, 7)] {
+        for seed in 1..40 {
+            for queue_wait in [20 * MS, 300 * MS, SECOND] {
+                let config = Settings { balancer_count, balancer_index, pull_discovery: true, ..settings() };
+                let mut node = TestNode::with_policy(Policy::new(config, seed), vec![server(1), origin()]);
+                let calls = rejected_calls(&mut node, queue_wait, 10 * SECOND);
+                let helpful = calls.iter().any(|at| (5 * SECOND..=notified_after + grace).contains(at));
+                assert!(helpful, "{balancer_count} balancers, {queue_wait} in the queue: {calls:?}");
+            }
+        }
+    }
+}
+
+/// Returns the times of a balancer's calls from now on, where each call is rejected after `queue_wait`.
+fn rejected_calls(node: &mut TestNode, queue_wait: Micros, duration: Micros) -> Vec<Micros> {
+    let started_at = node.now;
     let mut calls = Vec::new();
-    while node.now < started_at + 10 * SECOND {
-        advance_to_next_call(&mut node);
+    while node.now < started_at + duration {
+        advance_to_next_call(node);
         calls.push(node.now - started_at);
-        node.advance(20 * MS);
+        node.advance(queue_wait);
         node.actions.clear();
-        fail_discovery(&mut node, DiscoveryFailure::Failed, 20 * MS);
+        fail_discovery(node, DiscoveryFailure::Failed, queue_wait);
     }
     calls
 }
--- a/tests/node/first_list.rs
+++ b/tests/node/first_list.rs
@@ -230,6 +230,18 @@
     check_restarts(true, &plays);
 }
 
+// Guards against sends to a draining server for lack of a call in time. Where lists are requested, the drain
+// counts as notified 6 s after discovery had it. After three calls that had waited for 1 s each, the next one
+// came up to 7.5 s after the start.
+#[test]
+fn restarted_node_with_requested_lists_spares_a_draining_server_in_time_when_its_first_calls_fail() {
+    let mut plays: Vec<_> = CallFailure::ALL.map(|failure| vec![failure]).into();
+    let repeatable = CallFailure::ALL.iter().filter(|failure| !matches!(failure, CallFailure::NoResponse));
+    plays.extend(repeatable.map(|failure| vec![*failure; 3]));
+    plays.push(vec![CallFailure::NoResponse; 2]);
+    check_restarts(false, &plays);
+}
+
 // A list that comes late, but within the time that a call may take, is in force in time.
 #[test]
 fn restarted_node_with_pushed_lists_spares_a_draining_server_when_its_first_list_is_late() {
