Move the origin gate and the ejections of the decision module to files of their own

Cause: policy.rs had 1,157 lines and several jobs. Change: the calls to the origin with their gate move to origin_gate.rs, ejections of servers and zones to ejection.rs, with their constants, unchanged but for visibility; 930 lines are left.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,20 +8,19 @@
 //! a write goes to the origin at once. Calls to the origin pass the gate, which limits the calls in flight
 //! and the calls per time window. A call that the gate blocks is deferred with a random backoff. All other
 //! code handles failures; the comments there say which failures.
-//!
-//! The gate is modelled on a published rate-limit note: a counter of outstanding calls and a window of one
-//! second; blocked calls are queued again after a random 1 to 3 s and fail after 60 s. Here the window and
-//! the backoff are fractions of the latency target.
 #![deny(clippy::too_many_lines, clippy::cognitive_complexity)]
 
 mod admission;
 mod discovery_refresh;
+mod ejection;
 mod list_confirmation;
+mod origin_gate;
 mod slow_start;
 
 use crate::interface::*;
 use crate::state::*;
 use admission::{INITIAL_ADMISSION_LEVEL, MAX_ADMISSION_LEVEL};
+use origin_gate::GATE_CEILING_CALLS;
 
 /// Load bound: a server is skipped when it has at least this multiple of its weighted share of the attempts
 /// in flight. This is checked for the attempts of this balancer and, by the load reports, for the attempts
@@ -48,30 +47,6 @@
 /// utilization starts as if this many load reports, all with full utilization, had arrived. A server with
 /// fewer recent answers than this is observed too little, and a slow read there is hedged.
 const PRIOR_OBSERVATIONS: f64 = 2.0;
-/// Gate: ceiling of the limit on origin calls in flight of one balancer. The limit starts at half of this
-/// ceiling, at 10 calls, which is the default of the rate-limit note for its counter of outstanding calls.
-const GATE_CEILING_CALLS: f64 = 20.0;
-/// Gate: if more than [`GATE_CEILING_CALLS`] requests are expected in this fraction of the longest latency
-/// target, the ceiling is their number.
-const GATE_CEILING_FRACTION_OF_LATENCY_TARGET: f64 = 0.1;
-/// Gate: time window of the call limit as a fraction of the longest latency target. It is short enough that
-/// calls of a burst above the limit can be deferred to a later window and still be in time.
-const GATE_WINDOW_FRACTION_OF_LATENCY_TARGET: f64 = 0.25;
-/// Gate: fraction of both limits that fetches may use. The rest is reserved for writes.
-const GATE_FETCH_FRACTION_OF_LIMITS: f64 = 0.7;
-/// Gate: factor by which a sign of congestion lowers the limit on calls in flight.
-const GATE_DECREASE_FACTOR: f64 = 0.8;
-/// Gate: least limit on calls in flight as a fraction of [`GATE_CEILING_CALLS`].
-const GATE_FLOOR_FRACTION_OF_CEILING: f64 = 0.1;
-/// Gate: the origin is congested if its smoothed response time exceeds this fraction of the shortest latency
-/// target. Single answers do not count: some are slow at any load, and each would lower the limit.
-const ORIGIN_SLOW_FRACTION_OF_LATENCY_TARGET: f64 = 0.8;
-/// Shortest backoff of a blocked call as a fraction of its latency target. The rate-limit note queues a
-/// blocked call again after a random 1 to 3 s and lets it fail after 60 s; here the latency target takes the
-/// place of the 60 s.
-const MIN_BACKOFF_FRACTION_OF_LATENCY_TARGET: f64 = 1.0 / 60.0;
-/// Longest backoff of a blocked call as a fraction of its latency target.
-const MAX_BACKOFF_FRACTION_OF_LATENCY_TARGET: f64 = 3.0 / 60.0;
 /// An attempt without an answer for this fraction of its latency target is slow; after twice this time it is
 /// nearly late.
 const SLOW_FRACTION_OF_LATENCY_TARGET: f64 = 0.4;
@@ -83,15 +58,6 @@
 /// Cost of retrying an attempt whose answer is presumed lost, in attempts of the retry budget. It is below 1
 /// because three of four such answers are lost, and only the fourth is slow.
 const LOST_RETRY_COST: f64 = 0.25;
-/// Number of failures after which a server is ejected; each answer between them reduces the count by one.
-/// Also the number of unanswered attempts after which a zone is ejected; an answer from the zone resets
-/// that count.
-const EJECTION_FAILURE_THRESHOLD: u32 = 3;
-/// Shortest ejection as a multiple of the longest latency target. Each further ejection without an answer in
-/// between takes twice as long as the one before.
-const MIN_EJECTION_MULTIPLE_OF_LATENCY_TARGET: u64 = 1;
-/// Longest ejection as a multiple of the longest latency target.
-const MAX_EJECTION_MULTIPLE_OF_LATENCY_TARGET: u64 = 8;
 /// Attempts that each request adds to the budget for hedges and for retries of attempts that may have been
 /// executed.
 const RETRY_BUDGET_ATTEMPTS_PER_REQUEST: f64 = 0.05;
@@ -443,74 +409,6 @@
         if self.quota_share > 0.0 { self.quota_share } else { self.admitted_rate.per_s }
     }
 
-    // Calls to the origin
-
-    /// Sends a fetch or a write to the origin if the gate admits it, else defers the request.
-    fn send_to_origin(&mut self, request_id: RequestId, actions: &mut Vec<Action>) {
-        let purpose = if self.requests[&request_id].write { Purpose::Write } else { Purpose::Fetch };
-        let target_id = match self.settings.origin_machine_type {
-            Some(_) => self.ready_servers(true).map(|server| server.entry.id).next(),
-            // Cache servers that fetch missing values themselves also accept writes.
-            None => self.select_server(request_id),
-        };
-        match target_id.filter(|_| self.gate_admits(purpose)) {
-            None => self.defer(request_id, actions),
-            Some(target_id) if self.send_attempt(request_id, target_id, purpose, actions) => {}
-            Some(_) => self.shed_or_fail(request_id, actions),
-        }
-    }
-
-    /// Whether the limits on calls in flight and on calls per window admit one more call. Records the
-    /// result in the ratio of blocked calls. The limit per window is at least the limit on calls in flight:
-    /// the window is hardly longer than a call takes, so a lower limit would make the other one ineffective.
-    /// Also, the quota share of one of many balancers is only one or two calls per window, a number that
-    /// random variation often exceeds.
-    fn gate_admits(&mut self, purpose: Purpose) -> bool {
-        let window = self.latency_target as f64 * GATE_WINDOW_FRACTION_OF_LATENCY_TARGET;
-        self.gate.advance_window(self.now, window as Micros);
-        let gate = &self.gate;
-        let window_limit = (self.expected_request_rate() * window / 1e6).max(gate.limit);
-        let below = |count: u32, limit: f64| f64::from(count + 1) <= limit.max(1.0);
-        let within_limits = |counter: usize, fraction: f64| {
-            below(gate.in_flight[counter], gate.limit * fraction)
-                && below(gate.window_calls[counter], window_limit * fraction)
-        };
-        let admitted = within_limits(0, 1.0)
-            && (purpose == Purpose::Write || within_limits(1, GATE_FETCH_FRACTION_OF_LIMITS));
-        self.gate.blocked_ratio.record(f64::from(u8::from(!admitted)), 1.0);
-        admitted
-    }
-
-    /// Schedules a request to be sent again after a random backoff, because the gate blocked its call, the
-    /// origin rejected the call or no server is available for it. If the backoff ends too late to earn value,
-    /// the request is ended instead, unless an attempt is in flight.
-    fn defer(&mut self, request_id: RequestId, actions: &mut Vec<Action>) {
-        let delay = self.jittered_backoff(self.requests[&request_id].class);
-        let request_state = &self.requests[&request_id];
-        if self.now + delay >= self.useful_until(request_state) {
-            return if request_state.in_flight == 0 {
-                self.shed_or_fail(request_id, actions)
-            };
-        }
-        if let Some(request_state) = self.requests.get_mut(&request_id) {
-            request_state.deferral_count += 1;
-            self.timers.schedule(
-                self.now + delay,
-                TimerTask::DeferredRequest(request_id, request_state.deferral_count),
-            );
-        }
-    }
-
-    /// Returns the random backoff of a blocked call of a class.
-    fn jittered_backoff(&mut self, class: usize) -> Micros {
-        let latency_target = self.settings.classes[class].latency_target as f64;
-        (latency_target
-            * (MIN_BACKOFF_FRACTION_OF_LATENCY_TARGET
-                + (MAX_BACKOFF_FRACTION_OF_LATENCY_TARGET - MIN_BACKOFF_FRACTION_OF_LATENCY_TARGET)
-                    * self.rng.next_unit())) as Micros
-            + 1
-    }
-
     // Sending an attempt
 
     /// Sends an attempt if the deadline, the limits on attempts, the state of the server and the
@@ -756,131 +654,6 @@
         }
     }
 
-    /// Lowers the gate's limit on calls in flight, down to a floor, when the origin is slow, failing or
-    /// rejecting calls; good answers raise the limit again. Prevents the overload of a congested origin.
-    fn record_origin_outcome(&mut self, attempt: &Attempt, outcome: &Outcome, actions: &mut Vec<Action>) {
-        let response_time = self.servers.get(&attempt.server).map_or(0.0, |server| server.response_time);
-        let slow_limit = self.origin_latency_target as f64 * ORIGIN_SLOW_FRACTION_OF_LATENCY_TARGET;
-        let slow = response_time > slow_limit;
-        // A call that was abandoned before it was slow, because the client's time-out is short, is no sign
-        // that the origin is slow.
-        let abandoned_early =
-            outcome.status.abandoned() && ((self.now - attempt.sent_at) as f64) < slow_limit;
-        // A fixed ceiling would block calls to an idle origin when there are many short requests.
-        let max_limit = (self.expected_request_rate()
-            * GATE_CEILING_FRACTION_OF_LATENCY_TARGET
-            * self.latency_target as f64
-            / 1e6)
-            .max(GATE_CEILING_CALLS);
-        let gate = &mut self.gate;
-        let previous_limit = gate.limit;
-        // A malformed answer and a broken connection are no signs of congestion; a malformed answer counts as
-        // good.
-        if matches!(outcome.status, Status::Success | Status::Malformed) && !slow {
-            gate.limit = (gate.limit + 1.0 / gate.limit).min(max_limit);
-        } else if (outcome.status != Status::Reset || slow)
-            && outcome.status != Status::NotSent
-            && !abandoned_early
-            // The origin has answered later calls: this answer was lost on its way, which is no sign of
-            // congestion.
-            && !attempt.presumed_lost
-            && attempt.sent_at >= gate.reduced_at
-        {
-            // Calls that were in flight together lower the limit only once.
-            gate.reduced_at = self.now;
-            gate.limit =
-                (gate.limit * GATE_DECREASE_FACTOR).max(GATE_CEILING_CALLS * GATE_FLOOR_FRACTION_OF_CEILING);
-        }
-        log_crossing(
-            actions,
-            previous_limit,
-            gate.limit,
-            GATE_CEILING_CALLS / 4.0,
-            "gate lowered: origin slow",
-            "gate restored",
-        );
-    }
-
-    /// Counts an attempt that could not connect or was not answered for a long time, if no server of its
-    /// zone has answered since the attempt was sent. Ejects the whole zone after several such attempts.
-    /// Without this, a balancer that sends each server few requests would detect the failure of the zone
-    /// one server at a time. Has no effect if no other zone has a server that is not ejected.
-    fn record_zone_failure(&mut self, server_id: ServerId, sent_at: Micros, actions: &mut Vec<Action>) {
-        let Some(zone) = self.servers.get(&server_id).map(|server| server.entry.zone) else { return };
-        if !self.ready_servers(false).any(|server| server.entry.zone != zone && server.ejection.until == 0) {
-            return; // No other zone is available.
-        }
-        let ejection_time = self.min_ejection_time();
-        let zone_state = self.zones.entry(zone).or_default();
-        zone_state.unanswered += u32::from(zone_state.last_answer_at < sent_at);
-        if zone_state.unanswered < EJECTION_FAILURE_THRESHOLD {
-            return;
-        }
-        if zone_state.unanswered == EJECTION_FAILURE_THRESHOLD {
-            actions.push(Action::Log(format!("zone {zone} is silent: ejected")));
-            // Checks all reads in flight now, so that those in the zone are retried at once.
-            let pending_reads = self.attempts.iter().filter(|(_, attempt)| attempt.purpose == Purpose::Read);
-            pending_reads.for_each(|(&(request_id, attempt_number), _)| {
-                self.timers.schedule(self.now, TimerTask::MissingAnswer(request_id, attempt_number))
-            });
-        }
-        for server in
-            self.servers.values_mut().filter(|server| server.entry.zone == zone && !server.is_origin)
-        {
-            server.ejection.until = server.ejection.until.max(self.now + ejection_time);
-            server.ejection.duration = server.ejection.duration.max(ejection_time);
-        }
-    }
-
-    /// Whether an attempt was sent to a zone that has been ejected as silent and has not answered since the
-    /// attempt was sent.
-    fn in_silent_zone(&self, attempt: &Attempt) -> bool {
-        let zone_state = self
-            .servers
-            .get(&attempt.server)
-            .filter(|server| !server.is_origin)
-            .and_then(|server| self.zones.get(&server.entry.zone));
-        zone_state.is_some_and(|zone_state| {
-            zone_state.unanswered >= EJECTION_FAILURE_THRESHOLD && zone_state.last_answer_at < attempt.sent_at
-        })
-    }
-
-    /// Returns the shortest ejection of a server.
-    fn min_ejection_time(&self) -> Micros {
-        (self.latency_target * MIN_EJECTION_MULTIPLE_OF_LATENCY_TARGET)
-            .max(self.per_server_request_interval() as Micros)
-            .min(self.latency_target * MAX_EJECTION_MULTIPLE_OF_LATENCY_TARGET)
-    }
-
-    /// Counts a failure of a server. Ejects the server when the failure count, which each answer reduces by
-    /// one, reaches a threshold. A failure after an ejection has ended, with no answer since, is a failed
-    /// trial and ejects the server again at once. Prevents further attempts at a server that is down.
-    fn record_server_failure(&mut self, server_id: ServerId, actions: &mut Vec<Action>) {
-        let (request_interval, min_ejection_time) =
-            (self.per_server_request_interval(), self.min_ejection_time());
-        let Some(server) = self.servers.get_mut(&server_id) else { return };
-        server.failure_count += 1;
-        let trial_failed = server.ejection.until != 0 && self.now >= server.ejection.until;
-        // A balancer that sends a server less than one request per latency target ejects it at the first
-        // failed connection or error: it would meet the same failure again and again, and loses little by
-        // doing without the server for a while. A single slow request is not such a failure.
-        let definite_failure = server.connect_failed || server.returned_error;
-        let threshold = if definite_failure {
-            (self.latency_target as f64 / request_interval.max(1.0)).ceil() as u32
-        } else {
-            EJECTION_FAILURE_THRESHOLD
-        };
-        if trial_failed
-            || (server.ejection.until == 0
-                && server.failure_count >= threshold.clamp(1, EJECTION_FAILURE_THRESHOLD))
-        {
-            let duration = (server.ejection.duration * 2)
-                .clamp(min_ejection_time, self.latency_target * MAX_EJECTION_MULTIPLE_OF_LATENCY_TARGET);
-            server.ejection = Ejection { until: self.now + duration, duration };
-            actions.push(Action::Log(format!("server {server_id} fails or is silent: ejected")));
-        }
-    }
-
     /// Handles an attempt that has become slow, nearly late or late. A slow attempt counts as an overload
     /// signal, and a late one counts as a failure of its server if the server has answered nothing since the
     /// attempt was sent; this detects servers that are silent or hang.
