Say in the log that a list was not confirmed, and pass the end of a call as one type

Cause: an attempt that was not sent for want of a confirmed list was logged as one whose server no longer accepts requests, and the end of a call was a pair passed in two forms. Change: the log names the reason; CallEnd holds the failure and the time without contact.

--- a/src/bin/pondproxy-node/discovery.rs
+++ b/src/bin/pondproxy-node/discovery.rs
@@ -51,10 +51,17 @@
     /// The first list, or the empty line that stands for no change, has been received.
     Synchronized,
     /// A watch on pushed lists failed or ended, and is reopened after a pause.
-    Reopening { failure: DiscoveryFailure, since_last_contact: Duration },
-    /// The call failed or the watch ended; `since_last_contact` is the time for which changes may have been
-    /// missed.
-    Failed { failure: DiscoveryFailure, since_last_contact: Duration },
+    Reopening(CallEnd),
+    /// The call failed or the watch ended.
+    Failed(CallEnd),
+}
+
+/// How a call failed or a watch ended.
+#[derive(Debug)]
+pub struct CallEnd {
+    pub failure: DiscoveryFailure,
+    /// Time for which changes may have been missed.
+    pub since_last_contact: Duration,
 }
 
 /// Whether the events of a call still apply.
--- a/src/bin/pondproxy-node/discovery/call.rs
+++ b/src/bin/pondproxy-node/discovery/call.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::list::{self, ListReader, ListUpdate, MalformedList};
-use super::{CallEvent, CallId};
+use super::{CallEnd, CallEvent, CallId};
 use crate::event_loop::NodeEvent;
 use crate::http::{self, ChunkedDecoder};
 use crate::log;
@@ -130,8 +130,7 @@
         {
             log(&format!("discovery: {e}"));
         }
-        let (failure, since_last_contact) = self.end(result);
-        self.report(CallEvent::Reopening { failure, since_last_contact }).await;
+        self.report(CallEvent::Reopening(self.end(result))).await;
     }
 
     /// Requests the complete list once; reports the end of the call only if it failed.
@@ -153,15 +152,13 @@
             Ok(()) => log("discovery: watch ended"),
             Err(e) => log(&format!("discovery: {e}")),
         }
-        let (failure, since_last_contact) = self.end(result);
-        self.report(CallEvent::Failed { failure, since_last_contact }).await;
+        self.report(CallEvent::Failed(self.end(result))).await;
     }
 
-    /// Returns how a call with this result failed, and the time for which changes may have been missed. The
-    /// end of a watch is a failure even if there was no error.
-    fn end(&self, result: Result<(), CallError>) -> (DiscoveryFailure, Duration) {
+    /// Returns how a call with this result ended. The end of a watch is a failure even if there was no error.
+    fn end(&self, result: Result<(), CallError>) -> CallEnd {
         let failure = result.err().map_or(DiscoveryFailure::Failed, |e| e.failure(self.synchronized));
-        (failure, self.last_contact_at.elapsed())
+        CallEnd { failure, since_last_contact: self.last_contact_at.elapsed() }
     }
 
     /// Makes the call and reports each list of the response until the response ends.
--- a/src/bin/pondproxy-node/event_loop/attempts.rs
+++ b/src/bin/pondproxy-node/event_loop/attempts.rs
@@ -67,10 +67,11 @@
                 && let Some(open_request) = open_request
             {
                 let id = String::from_utf8_lossy(&open_request.command.id);
-                log(&format!(
-                    "request {id}: attempt {} not sent, its server no longer accepts requests",
-                    attempt_id.1
-                ));
+                let reason = match list_is_usable {
+                    true => "its server no longer accepts requests",
+                    false => "discovery has not confirmed the server list in time",
+                };
+                log(&format!("request {id}: attempt {} not sent, {reason}", attempt_id.1));
             }
             let address = self.servers.get(attempt.server).map(|server| server.address);
             self.pool.release(conn_id, address, now);
--- a/src/bin/pondproxy-node/event_loop/server_lists.rs
+++ b/src/bin/pondproxy-node/event_loop/server_lists.rs
@@ -2,12 +2,10 @@
 //! list that a current call receives comes into force; of a truncated list, or of one that a superseded call
 //! receives, only the withdrawals are applied.
 
-use std::time::Duration;
-
-use pondproxy::{DiscoveryFailure, Event, ListKind, Micros};
+use pondproxy::{Event, ListKind, Micros};
 
 use super::Node;
-use crate::discovery::{CallEvent, CallId, CallStatus, ListUpdate};
+use crate::discovery::{CallEnd, CallEvent, CallId, CallStatus, ListUpdate};
 use crate::log;
 use crate::server_table::ListChanges;
 
@@ -25,36 +23,36 @@
                     self.dispatch_event(Event::DiscoverySynchronized);
                 }
             }
-            (CallStatus::Current, CallEvent::Reopening { failure, since_last_contact }) => {
-                self.dispatch_discovery_failure(failure, since_last_contact);
-            }
-            (CallStatus::Current, CallEvent::Failed { failure, since_last_contact }) => {
+            (CallStatus::Current, CallEvent::Reopening(end)) => self.dispatch_discovery_failure(&end),
+            (CallStatus::Current, CallEvent::Failed(end)) => {
                 self.discovery.call_ended(call_id);
                 // After a move, the discovery at the former address ends its watches. That is not a failure,
                 // and a call to the new address follows soon.
                 if !self.discovery.move_pending() {
-                    self.dispatch_discovery_failure(failure, since_last_contact);
+                    self.dispatch_discovery_failure(&end);
                 }
             }
             (CallStatus::Superseded, CallEvent::List(update)) => self.apply_withdrawn_servers(&update),
             (CallStatus::Current | CallStatus::Superseded, CallEvent::PartialList(update)) => {
                 self.apply_withdrawn_servers(&update)
             }
-            (CallStatus::Superseded, CallEvent::Failed { .. }) => self.discovery.call_ended(call_id),
+            (CallStatus::Superseded, CallEvent::Failed(_)) => self.discovery.call_ended(call_id),
             // Only a current call closes superseded ones. Events of an ended call no longer apply, for
             // example because the call that replaces it has been answered and its lists are in force.
             (
                 CallStatus::Superseded,
-                CallEvent::Connected | CallEvent::Synchronized | CallEvent::Reopening { .. },
+                CallEvent::Connected | CallEvent::Synchronized | CallEvent::Reopening(_),
             )
             | (CallStatus::Ended, _) => {}
         }
     }
 
     /// Tells the decision module that a call failed or that a watch ended.
-    fn dispatch_discovery_failure(&mut self, failure: DiscoveryFailure, since_last_contact: Duration) {
-        let since_last_contact = since_last_contact.as_micros() as Micros;
-        self.dispatch_event(Event::DiscoveryFailed { failure, since_last_contact });
+    fn dispatch_discovery_failure(&mut self, end: &CallEnd) {
+        self.dispatch_event(Event::DiscoveryFailed {
+            failure: end.failure,
+            since_last_contact: end.since_last_contact.as_micros() as Micros,
+        });
     }
 
     /// Applies only the withdrawals of a list that was truncated or that a superseded call received. Such a
