--- a/tests/node/connection_pressure.rs
+++ b/tests/node/connection_pressure.rs
@@ -135,7 +135,7 @@
 
 /// Returns the time until a PING on a new connection is answered with +PONG, or [`LONG_TIMEOUT`] or more if
 /// none is. An attempt may take a second to connect and a second to be answered.
-fn time_until_pong(node_address: SocketAddr) -> Duration {
+pub fn time_until_pong(node_address: SocketAddr) -> Duration {
     let start = Instant::now();
     let gets_pong = || -> Option<bool> {
         let mut stream = TcpStream::connect_timeout(&node_address, Duration::from_secs(1)).ok()?;
@@ -174,7 +174,7 @@
     let known_list = list_of_one_cache(first_server.address, origin.address);
     let mut settings = default_settings().to_string();
     if pushed {
-        settings = settings.replace(r#""discovery":"ask""#, r#""discovery":"push""#);
+        settings = with_pushed_lists(&settings);
     }
     let mut node = Node::start_with_settings(discovery, &known_list, (256, 32), "ulimit -n 256;", &settings);
     let stop_steady_client = Arc::new(AtomicBool::new(false));
@@ -419,7 +419,7 @@
         let caches = ["first", "second"].map(|name| cache_server(move |_| ServerAction::Answer(hit(name))));
         let (socket, discovery) = reserve_discovery_address();
         let settings = match pushed {
-            true => default_settings().replace(r#""discovery":"ask""#, r#""discovery":"push""#),
+            true => with_pushed_lists(default_settings()),
             false => default_settings().into(),
         };
         let known_list = list_of_one_cache(caches[0].address, failing_origin().address);
--- a/tests/node/discovery.rs
+++ b/tests/node/discovery.rs
@@ -1,12 +1,11 @@
 //! Tests of failed calls to discovery: how each kind of failure is logged, how soon the next call is made,
 //! and that a later call delivers the list.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 
-use socket2::{Domain, Socket, Type};
-
+use crate::connection_pressure::reserve_discovery_address;
 use crate::scripted_discovery::*;
 use crate::stand_ins::*;
 use crate::{failing_origin, list_of_one_cache};
@@ -83,9 +82,7 @@
 #[test]
 fn refused_connections_do_not_lengthen_the_delay_before_the_next_discovery_call() {
     // The socket is bound but does not listen yet, so connections are refused.
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    let (socket, address) = reserve_discovery_address();
     let settings = default_settings().replace(r#""askWithinUs":1000000"#, r#""askWithinUs":4000000"#);
     let node = Node::start_with_settings(
         address,
--- a/tests/node/first_list.rs
+++ b/tests/node/first_list.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::connection_pressure::reserve_discovery_address;
+use crate::connection_pressure::{reserve_discovery_address, time_until_pong};
 use crate::drain::{Upstreams, settings_for_six_balancers};
 use crate::scripted_discovery::*;
 use crate::stand_ins::*;
@@ -122,7 +122,7 @@
 /// Settings with a drain grace time of [`DRAIN_GRACE`], for pushed or requested lists.
 fn restart_settings(pushed: bool) -> String {
     match pushed {
-        true => settings_for_six_balancers().replace(r#""discovery":"ask""#, r#""discovery":"push""#),
+        true => with_pushed_lists(&settings_for_six_balancers()),
         false => settings_for_six_balancers(),
     }
 }
@@ -150,11 +150,7 @@
                 std::thread::spawn(move || send_reads(client, number, &stop))
             })
             .collect();
-        let mut prober = node.connect_client();
-        while prober.request(&command(&["PING"])).as_deref() != Some("+PONG") {
-            assert!(started_at.elapsed() < LONG_TIMEOUT, "the node becomes ready");
-            std::thread::sleep(Duration::from_millis(10));
-        }
+        assert!(time_until_pong(node.address) < LONG_TIMEOUT, "the node becomes ready");
         Play { node, started_at, ready_after: started_at.elapsed(), stop, clients }
     }
 
--- a/tests/node/stand_ins.rs
+++ b/tests/node/stand_ins.rs
@@ -387,6 +387,11 @@
     "guarantees":{"askWithinUs":1000000,"drainGraceUs":500000},"periodUs":2000}"#
 }
 
+/// Returns these settings with lists that discovery pushes instead of lists that the node requests.
+pub fn with_pushed_lists(settings: &str) -> String {
+    settings.replace(r#""discovery":"ask""#, r#""discovery":"push""#)
+}
+
 /// Starts the node program and waits for the first line of its log, which ends with the address it listens
 /// on.
 fn spawn_node(
@@ -433,7 +438,7 @@
 
     /// Starts a node under settings in which discovery pushes its lists.
     pub fn start_with_pushed_lists(discovery: SocketAddr, known_list: &str) -> Node {
-        let settings = default_settings().replace(r#""discovery":"ask""#, r#""discovery":"push""#);
+        let settings = with_pushed_lists(default_settings());
         Node::start_with_settings(discovery, known_list, (256, 16), "", &settings)
     }
 
