Count what discovery has at its return from the last refused connection

Cause: the grace counted from the first accepted connection, but discovery may have returned just after the last refused one, up to a pause of a quarter of the grace earlier; this used up the margin of 0.25 s. Ruled out as noise: pause, window and delivery add up to 1.0 s without any load.

Change: the time of the last refused connection is kept, and the grace counts from it; the longest wait still counts from the connection. The unit test that left a single refusal for 30 s now refuses every 0.25 s, as a node's calls are refused; its assertions are the same.

Measured: a new test of the module failed before and passes; the tests of list_confirmation pass.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -113,7 +113,7 @@
                 }
             }
             Event::DiscoveryMoved => self.handle_discovery_move(),
-            Event::FirstWatchOpening => self.await_list_confirmation(false),
+            Event::FirstWatchOpening => self.await_list_confirmation(now, false),
             Event::DiscoveryConnected => self.note_discovery_connected(),
             Event::DiscoverySynchronized => self.record_discovery_success(),
             Event::Request(request) => {
--- a/src/policy/list_confirmation.rs
+++ b/src/policy/list_confirmation.rs
@@ -28,7 +28,7 @@
     pub fn list_is_usable(&self, now: Micros) -> bool {
         match self.list_confirmation {
             ListConfirmation::Awaited { since, .. } => now < since + self.unconfirmed_use_time(),
-            ListConfirmation::Confirmed | ListConfirmation::DiscoveryDown => true,
+            ListConfirmation::Confirmed | ListConfirmation::DiscoveryDown { .. } => true,
         }
     }
 
@@ -37,11 +37,12 @@
         self.settings.drain_grace_time.saturating_sub(SEND_MARGIN_US)
     }
 
-    /// Starts to wait for the confirmation of the list; the balancer counts as notified from now on.
-    pub(super) fn await_list_confirmation(&mut self, connected: bool) {
-        self.list_confirmation = ListConfirmation::Awaited { since: self.now, connected };
-        self.schedule_after(self.unconfirmed_use_time(), TimerTask::ListConfirmationReview);
-        self.schedule_after(MAX_CONFIRMATION_WAIT_US, TimerTask::ListConfirmationReview);
+    /// Starts to wait for the confirmation of the list; the balancer counts as notified since `since`.
+    pub(super) fn await_list_confirmation(&mut self, since: Micros, connected: bool) {
+        let until = self.now + MAX_CONFIRMATION_WAIT_US;
+        self.list_confirmation = ListConfirmation::Awaited { since, until, connected };
+        self.timers.schedule(since + self.unconfirmed_use_time(), TimerTask::ListConfirmationReview);
+        self.timers.schedule(until, TimerTask::ListConfirmationReview);
     }
 
     /// Records that the list in force holds all that discovery had to report.
@@ -49,12 +50,15 @@
         self.list_confirmation = ListConfirmation::Confirmed;
     }
 
-    /// Records that discovery accepted a call. If it was down before, its changes count as notified from now
-    /// on.
+    /// Records that discovery accepted a call. If it was down before, its changes count as notified since its
+    /// return, which may have followed the last refused connection at once.
     pub(super) fn note_discovery_connected(&mut self) {
         match &mut self.list_confirmation {
             ListConfirmation::Awaited { connected, .. } => *connected = true,
-            ListConfirmation::DiscoveryDown => self.await_list_confirmation(true),
+            ListConfirmation::DiscoveryDown { refused_at } => {
+                let returned_at = *refused_at;
+                self.await_list_confirmation(returned_at, true)
+            }
             ListConfirmation::Confirmed => {}
         }
     }
@@ -66,18 +70,23 @@
         failure: DiscoveryFailure,
         actions: &mut Vec<Action>,
     ) {
-        let awaited_unconnected =
-            matches!(self.list_confirmation, ListConfirmation::Awaited { connected: false, .. });
-        if awaited_unconnected && failure == DiscoveryFailure::Refused {
-            self.list_confirmation = ListConfirmation::DiscoveryDown;
-            actions.push(Action::Log("discovery is down: using the list from before the restart".into()));
+        if failure != DiscoveryFailure::Refused {
+            return;
+        }
+        match &mut self.list_confirmation {
+            ListConfirmation::Awaited { connected: false, .. } => {
+                self.list_confirmation = ListConfirmation::DiscoveryDown { refused_at: self.now };
+                actions.push(Action::Log("discovery is down: using the list from before the restart".into()));
+            }
+            ListConfirmation::DiscoveryDown { refused_at } => *refused_at = self.now,
+            ListConfirmation::Awaited { .. } | ListConfirmation::Confirmed => {}
         }
     }
 
     /// Logs that sends have stopped, or ends the wait for a confirmation that took too long.
     pub(super) fn review_list_confirmation(&mut self, actions: &mut Vec<Action>) {
-        let ListConfirmation::Awaited { since, .. } = self.list_confirmation else { return };
-        if self.now >= since + MAX_CONFIRMATION_WAIT_US {
+        let ListConfirmation::Awaited { until, .. } = self.list_confirmation else { return };
+        if self.now >= until {
             self.confirm_list();
             actions.push(Action::Log(format!(
                 "no list from discovery in {} s: using the list from before the restart",
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,11 +78,16 @@
     Awaited {
         /// Time since which the balancer counts as notified of what discovery has.
         since: Micros,
+        /// Time until which the balancer waits for the answer; then the list is used all the same.
+        until: Micros,
         /// Whether discovery has accepted a call since then.
         connected: bool,
     },
     /// Discovery has refused each connection: it is down, and has nothing to report until its return.
-    DiscoveryDown,
+    DiscoveryDown {
+        /// Time of the last refused connection; discovery may have returned since then.
+        refused_at: Micros,
+    },
 }
 
 /// Purpose of an attempt: a read at a cache server, the fetch of a missing value, or a write.
--- a/tests/list_confirmation.rs
+++ b/tests/list_confirmation.rs
@@ -11,6 +11,8 @@
 const DRAIN_GRACE: Micros = SECOND;
 /// Time for which a node may be held up between a decision and its write.
 const NODE_HELD_UP: Micros = 150 * MS;
+/// Pause before the node reopens a watch.
+const REOPEN_PAUSE: Micros = 250 * MS;
 /// Time within which a restarted balancer must be ready.
 const READY_WITHIN: Micros = 10 * SECOND;
 
@@ -105,8 +107,10 @@
 #[test]
 fn cached_list_is_used_while_discovery_is_down_and_counts_anew_from_its_return() {
     let mut node = restarted();
-    fail_call(&mut node, DiscoveryFailure::Refused);
-    node.advance(30 * SECOND);
+    for _ in 0..30 * SECOND / REOPEN_PAUSE {
+        fail_call(&mut node, DiscoveryFailure::Refused);
+        node.advance(REOPEN_PAUSE);
+    }
     assert!(node.policy.is_list_settled() && sends_read(&mut node, 1), "discovery is down");
     node.deliver(Event::DiscoveryConnected);
     assert!(sends_read(&mut node, 2), "discovery has just returned");
@@ -118,6 +122,23 @@
     assert!(sends_read(&mut node, 5));
 }
 
+// Guards against sends after the grace time at the return of discovery. It may have returned just after the
+// last refused connection, but its changes counted only from the next connection, a pause later.
+#[test]
+fn what_discovery_has_at_its_return_counts_from_the_last_refused_connection() {
+    let mut node = restarted();
+    fail_call(&mut node, DiscoveryFailure::Refused);
+    node.advance(10 * SECOND);
+    fail_call(&mut node, DiscoveryFailure::Refused);
+    node.advance(REOPEN_PAUSE);
+    node.deliver(Event::DiscoveryConnected);
+    assert!(sends_read(&mut node, 1), "discovery has returned within the last pause");
+    node.advance(DRAIN_GRACE - NODE_HELD_UP - REOPEN_PAUSE);
+    assert!(!sends_read(&mut node, 2), "discovery may have returned just after it refused a connection");
+    node.advance(SECOND);
+    assert!(!sends_read(&mut node, 3) && !node.policy.is_list_settled(), "and so until it answers");
+}
+
 #[test]
 fn refused_connection_after_an_accepted_one_does_not_show_that_discovery_had_nothing_to_report() {
     let mut node = restarted();
