Wait in the tests until a node that gets SIGSTOP has stopped

Cause: the call that sends SIGSTOP returns before the process has stopped, so the node could still read the first request while its client was connected, which allows forwarding. Ruled out: the change of first lists (the test requests its lists, and no call fails).

The assertions are the same; the order that the test asks for is now forced.

--- a/tests/node/stand_ins.rs
+++ b/tests/node/stand_ins.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::{Domain, Socket, Type};
 
@@ -518,11 +518,22 @@
     /// kernel's socket buffers.
     pub fn while_stopped<T>(&self, action: impl FnOnce() -> T) -> T {
         self.send_signal("STOP");
+        self.wait_until_stopped();
         let result = action();
         self.send_signal("CONT");
         result
     }
 
+    /// Waits until the kernel has stopped the process: the call that sends a signal may return before.
+    fn wait_until_stopped(&self) {
+        let path = format!("/proc/{}/status", self.child.id());
+        let is_stopped = || std::fs::read_to_string(&path).unwrap().contains("State:\tT");
+        let start = Instant::now();
+        while !is_stopped() {
+            assert!(start.elapsed() < LONG_TIMEOUT, "the process stops");
+        }
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.send_signal("TERM");
